Lay out the build, shared types and the checks

Cause: nothing exists yet; five parts of the work need common types before they can start. Conclusion: the contracts are in place; the parts behind them follow.

--- /dev/null
+++ b/src/include/pomeloport/protocol/identity.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+/// Identities that messages carry: who owns a stream, and which attempt of which request it belongs to.
+namespace pomeloport {
+
+/// Names one start of one process of an instance. A restarted instance keeps its name and gets a higher incarnation.
+struct OwnerId
+{
+    std::string instance;
+    std::uint64_t incarnation = 0;
+
+    auto operator<=>(const OwnerId &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(instance, incarnation);
+    }
+};
+
+/// Addresses one attempt of one request: owner, sequence number of the request at its owner, number of the attempt.
+struct StreamAddress
+{
+    OwnerId owner;
+    std::uint64_t sequence = 0;
+    std::uint32_t attempt = 0;
+
+    auto operator<=>(const StreamAddress &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(owner, sequence, attempt);
+    }
+};
+
+/// Formats an address as "instance/incarnation/sequence/attempt".
+std::string toString(const StreamAddress &address);
+
+/// Parses the output of toString(). Returns nothing, with a last reason, for any other text.
+std::optional<StreamAddress> parseStreamAddress(std::string_view text);
+
+} // namespace pomeloport
