--- a/src/cmake/compileroptions.cmake
+++ b/src/cmake/compileroptions.cmake
@@ -2,7 +2,7 @@
 set(POMELO_SANITIZE "" CACHE STRING "Comma-separated sanitizers, for example address,undefined")
 
 add_library(pomelo_options INTERFACE)
-target_compile_options(pomelo_options INTERFACE -Wall -Wextra -Werror)
+target_compile_options(pomelo_options INTERFACE -Wall -Wextra -Wno-missing-field-initializers -Werror)
 if(POMELO_SANITIZE)
     add_compile_options(-fsanitize=${POMELO_SANITIZE} -fno-omit-frame-pointer -O1)
     add_link_options(-fsanitize=${POMELO_SANITIZE})
