Give cache events a message type

The engine interface named GET /v1/events without saying what it answers, so a controller and an engine could not agree on it. CacheEvents carries numbered events with the epoch of the process, so that a reader sees gaps and restarts. An order that is fenced is answered 409.

Contract change: protocol/enginemessages.h gains CacheEvent and CacheEvents; nothing existing changes. Unit tests pass.

--- a/src/include/pomeloport/protocol/enginemessages.h
+++ b/src/include/pomeloport/protocol/enginemessages.h
@@ -15,7 +15,8 @@
 /// StreamEnd. A refusal before the start is answered with status 429 or 503 and a Refusal; it promises that nothing
 /// ran. POST /v1/cancel takes {"stream": ADDRESS} and answers {"started": bool, "existed": bool}. GET /v1/holdings
 /// answers EngineHoldings. GET /v1/load answers a LoadReport. DELETE /v1/kv/BLOB frees an exported blob.
-/// POST /v1/orders takes an EngineOrder. GET /v1/events?since=N answers cache events.
+/// POST /v1/orders takes an EngineOrder and answers 200 {}, or 409 and a Refusal with the code Fenced.
+/// GET /v1/events?since=N answers CacheEvents with the events after sequence number N.
 namespace pomeloport {
 
 /// Scheduling classes of an engine, most urgent first.
@@ -166,6 +167,26 @@
     std::string role;
 };
 
+/// A change of an engine's prefix cache: a block was stored or evicted.
+struct CacheEvent
+{
+    /// Rises by one with each event of one engine process; a jump shows that events were lost.
+    std::uint64_t sequence = 0;
+    std::uint64_t block = 0;
+    bool stored = true;
+};
+
+/// Cache events as published: late, and with gaps.
+struct CacheEvents
+{
+    std::string engine;
+    /// As in LoadReport; sequence numbers start again with each process.
+    std::uint64_t epoch = 0;
+    /// Sequence number of the newest event published so far.
+    std::uint64_t lastSequence = 0;
+    std::vector<CacheEvent> events;
+};
+
 /// Codecs. The encoders write compact JSON; the decoders return nothing, with a last reason, for malformed input.
 std::string encode(const GenerateCall &call);
 std::string encode(const StreamChunk &chunk);
@@ -174,6 +195,7 @@
 std::string encode(const LoadReport &report);
 std::string encode(const EngineHoldings &holdings);
 std::string encode(const EngineOrder &order);
+std::string encode(const CacheEvents &events);
 std::optional<GenerateCall> decodeGenerateCall(std::string_view json);
 std::optional<StreamChunk> decodeStreamChunk(std::string_view json);
 std::optional<StreamEnd> decodeStreamEnd(std::string_view json);
@@ -181,5 +203,6 @@
 std::optional<LoadReport> decodeLoadReport(std::string_view json);
 std::optional<EngineHoldings> decodeEngineHoldings(std::string_view json);
 std::optional<EngineOrder> decodeEngineOrder(std::string_view json);
+std::optional<CacheEvents> decodeCacheEvents(std::string_view json);
 
 } // namespace pomeloport
--- a/src/libpomeloport/protocol/enginemessages.cpp
+++ b/src/libpomeloport/protocol/enginemessages.cpp
@@ -146,6 +146,18 @@
         {"fencing_number", order.fencingNumber}, {"load", textArray(order.load)}, {"role", order.role}});
 }
 
+std::string encode(const CacheEvents &events)
+{
+    boost::json::array entries;
+    for (const auto &event : events.events) {
+        entries.push_back({{"sequence", event.sequence}, {"block", digestText(event.block)}, {"stored", event.stored}});
+    }
+    return serialize(boost::json::value{{"engine", events.engine},
+                                        {"epoch", events.epoch},
+                                        {"last_sequence", events.lastSequence},
+                                        {"events", std::move(entries)}});
+}
+
 std::optional<GenerateCall> decodeGenerateCall(std::string_view json)
 {
     JsonReader reader(json);
@@ -231,4 +243,21 @@
                   EngineOrder{reader.number("fencing_number", true), reader.texts("load"), reader.text("role")});
 }
 
+std::optional<CacheEvents> decodeCacheEvents(std::string_view json)
+{
+    JsonReader reader(json);
+    CacheEvents result;
+    result.engine = reader.text("engine", true);
+    result.epoch = reader.number("epoch");
+    result.lastSequence = reader.number("last_sequence", true);
+    for (const auto &entry : reader.array("events")) {
+        JsonReader fields(entry);
+        result.events.push_back({fields.number("sequence", true), fields.digest("block"), fields.boolean("stored")});
+        if (!fields.ok()) {
+            reader.fail("events: " + lastReason());
+        }
+    }
+    return finish(reader, std::move(result));
+}
+
 } // namespace pomeloport
--- a/src/libpomeloport/protocol/enginemessages_test.cpp
+++ b/src/libpomeloport/protocol/enginemessages_test.cpp
@@ -37,3 +37,16 @@
     CHECK_FALSE(decodeStreamEnd(R"({"index": 0, "text": "a"})"));
     CHECK_FALSE(decodeRefusal(R"({"refused": "tired"})"));
 }
+
+TEST_CASE("cache events survive encoding")
+{
+    const CacheEvents events{"engine-2", 5, 9, {{8, 0xffffffffffffffff, true}, {9, 3, false}}};
+    const auto decoded = decodeCacheEvents(encode(events));
+    REQUIRE(decoded);
+    CHECK(decoded->epoch == 5);
+    CHECK(decoded->lastSequence == 9);
+    REQUIRE(decoded->events.size() == 2);
+    CHECK(decoded->events[0].block == 0xffffffffffffffff);
+    CHECK_FALSE(decoded->events[1].stored);
+    CHECK_FALSE(decodeCacheEvents(R"({"engine": "e", "last_sequence": 1, "events": [3]})"));
+}
