--- /dev/null
+++ b/src/libpomeloport/coordination/inflightledger.cpp
@@ -0,0 +1,94 @@
+#include "pomeloport/coordination/inflightledger.h"
+
+namespace pomeloport {
+
+std::pair<std::uint64_t, std::uint64_t> BackendBooks::pendingSince(Instant time) const
+{
+    std::uint64_t tokens = 0;
+    std::uint64_t count = 0;
+    for (const auto &[stream, booking] : bookings) {
+        if (booking.openedAt > time && !booking.firstChunkAt) {
+            tokens += booking.prefillTokens;
+            ++count;
+        }
+    }
+    return {tokens, count};
+}
+
+std::uint64_t BackendBooks::kvTokensSince(Instant time) const
+{
+    std::uint64_t tokens = 0;
+    for (const auto &[stream, booking] : bookings) {
+        if (booking.openedAt > time) {
+            tokens += booking.kvTokens;
+        }
+    }
+    return tokens;
+}
+
+void InFlightLedger::open(const StreamAddress &stream, const std::string &backend, Booking booking)
+{
+    close(stream, backend);
+    auto &books = m_backends[backend];
+    ++books.streams;
+    books.kvTokens += booking.kvTokens;
+    books.pendingPrefillTokens += booking.prefillTokens;
+    books.bookings.emplace(stream, std::move(booking));
+    ++m_size;
+}
+
+const Booking *InFlightLedger::firstChunk(const StreamAddress &stream, const std::string &backend, Instant now)
+{
+    auto &books = m_backends[backend];
+    const auto found = books.bookings.find(stream);
+    if (found == books.bookings.end() || found->second.firstChunkAt) {
+        return nullptr;
+    }
+    found->second.firstChunkAt = now;
+    found->second.latestChunkAt = now;
+    books.pendingPrefillTokens -= found->second.prefillTokens;
+    return &found->second;
+}
+
+std::optional<Booking> InFlightLedger::nextChunk(const StreamAddress &stream, const std::string &backend, Instant now)
+{
+    auto &books = m_backends[backend];
+    const auto found = books.bookings.find(stream);
+    if (found == books.bookings.end() || !found->second.firstChunkAt) {
+        return std::nullopt;
+    }
+    const auto before = found->second;
+    found->second.latestChunkAt = now;
+    ++found->second.laterChunks;
+    return before;
+}
+
+std::optional<Booking> InFlightLedger::close(const StreamAddress &stream, const std::string &backend)
+{
+    auto &books = m_backends[backend];
+    const auto found = books.bookings.find(stream);
+    if (found == books.bookings.end()) {
+        return std::nullopt;
+    }
+    auto booking = std::move(found->second);
+    books.bookings.erase(found);
+    --books.streams;
+    books.kvTokens -= booking.kvTokens;
+    if (!booking.firstChunkAt) {
+        books.pendingPrefillTokens -= booking.prefillTokens;
+    }
+    --m_size;
+    return booking;
+}
+
+const BackendBooks &InFlightLedger::books(const std::string &backend)
+{
+    return m_backends[backend];
+}
+
+std::size_t InFlightLedger::size() const
+{
+    return m_size;
+}
+
+} // namespace pomeloport
