Add the HTTP server and client

Cause: every program needs HTTP/1.1 with limits, streams and a clear answer to whether a call may have left. Change: HttpServer with strands, header, body and time limits, keep-alive, chunked streams and closed-peer detection; HttpClient with a pool of kept-alive connections that retries on a fresh one only while nothing was sent.

--- /dev/null
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -0,0 +1,178 @@
+#include "connectionpool.h"
+
+#include "pomeloport/transport/httpclient.h"
+#include "pomeloport/transport/httpserver.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <future>
+#include <thread>
+
+using namespace pomeloport;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr const char *TestAddress = "127.42.0.1:0";
+
+/// Runs a server on two threads.
+struct ServerFixture
+{
+    explicit ServerFixture(HttpHandler handler, HttpLimits limits = {})
+        : server(HttpServer::listen(context, TestAddress, limits, std::move(handler)))
+    {
+        for (auto &thread : threads) {
+            thread = std::thread([this] { context.run(); });
+        }
+    }
+
+    ~ServerFixture()
+    {
+        server->stopAccepting();
+        guard.reset();
+        context.stop();
+        for (auto &thread : threads) {
+            thread.join();
+        }
+    }
+
+    tcp::socket connect()
+    {
+        const auto address = server->address();
+        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+        tcp::socket socket(clientContext);
+        socket.connect({asio::ip::make_address("127.42.0.1"), port});
+        return socket;
+    }
+
+    /// Sends raw text and returns everything the server answers until it closes.
+    std::string talk(const std::string &text)
+    {
+        auto socket = connect();
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(text), error);
+        std::string answer;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    asio::io_context context;
+    asio::io_context clientContext;
+    asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
+    std::shared_ptr<HttpServer> server;
+    std::array<std::thread, 2> threads;
+};
+
+void answerPath(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto &request = exchange->request();
+    exchange->reply(200, "text/plain", request.method + " " + request.path + " " + request.body);
+}
+
+/// Sends one call and waits for its callback.
+std::pair<std::optional<HttpReply>, bool> call(HttpClient &client, HttpCall wanted)
+{
+    std::promise<std::pair<std::optional<HttpReply>, bool>> result;
+    client.send(std::move(wanted), [&result](std::optional<HttpReply> reply, bool sent) {
+        result.set_value({std::move(reply), sent});
+    });
+    return result.get_future().get();
+}
+
+} // namespace
+
+TEST_CASE("http server refuses bad requests with a clear error and goes on")
+{
+    HttpLimits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = 64;
+    limits.headerTimeout = std::chrono::milliseconds(50);
+    ServerFixture fixture(answerPath, limits);
+    const std::string longHeader(4096, 'x');
+
+    const auto malformed = fixture.talk("nonsense\r\n\r\n");
+    REQUIRE_THAT(malformed, Catch::StartsWith("HTTP/1.1 400"));
+    REQUIRE_THAT(malformed, Catch::Contains(R"("verdict":"not_run")"));
+    REQUIRE_THAT(fixture.talk("GET / HTTP/1.1\r\nA: " + longHeader + "\r\n\r\n"), Catch::StartsWith("HTTP/1.1 431"));
+    REQUIRE_THAT(fixture.talk("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n" + std::string(65, 'b')),
+                 Catch::StartsWith("HTTP/1.1 413"));
+    REQUIRE_THAT(fixture.talk("GET / HTTP/1.1\r\nSlow: "), Catch::StartsWith("HTTP/1.1 408"));
+    REQUIRE_THAT(fixture.talk("GET /x?a=1 HTTP/1.1\r\nConnection: close\r\n\r\n"), Catch::EndsWith("GET /x "));
+}
+
+TEST_CASE("http client keeps connections and replaces a closed one before sending")
+{
+    ServerFixture fixture(answerPath);
+    HttpClient client(fixture.context);
+    for (int i = 0; i < 3; ++i) {
+        const auto [reply, sent] = call(client, {fixture.server->address(), "PUT", "/p", "body", {}});
+        REQUIRE(sent);
+        REQUIRE(reply);
+        REQUIRE(reply->body == "PUT /p body");
+        REQUIRE(fixture.server->connections() == 1);
+    }
+    fixture.server->closeAfterReply();
+    REQUIRE(call(client, {fixture.server->address(), "GET", "/p", "", {}}).first);
+    REQUIRE(call(client, {fixture.server->address(), "GET", "/p", "", {}}).first);
+}
+
+TEST_CASE("http client tells an unsent call from one that may have been sent")
+{
+    ServerFixture fixture([](const std::shared_ptr<HttpExchange> &exchange) { exchange->abort(); });
+    HttpClient client(fixture.context);
+    const auto [lost, sent] = call(client, {fixture.server->address(), "POST", "/", "x", {}});
+    REQUIRE_FALSE(lost);
+    REQUIRE(sent);
+    const auto [refused, refusedSent] = call(client, {"127.42.0.9:1", "POST", "/", "x", {}});
+    REQUIRE_FALSE(refused);
+    REQUIRE_FALSE(refusedSent);
+    REQUIRE_FALSE(call(client, {"not an address", "POST", "/", "x", {}}).second);
+}
+
+TEST_CASE("http server streams pieces in order and keeps the connection")
+{
+    ServerFixture fixture([](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->beginStream(200, "text/event-stream");
+        for (int i = 0; i < 3; ++i) {
+            exchange->write("piece" + std::to_string(i), [](bool) {});
+        }
+        exchange->endStream();
+    });
+    HttpClient client(fixture.context);
+    for (int i = 0; i < 2; ++i) {
+        REQUIRE(call(client, {fixture.server->address(), "GET", "/", "", {}}).first->body == "piece0piece1piece2");
+        REQUIRE(fixture.server->connections() == 1);
+    }
+}
+
+TEST_CASE("http server reports a peer that goes away during a stream")
+{
+    std::promise<void> gone;
+    std::shared_ptr<HttpExchange> kept;
+    ServerFixture fixture([&](const std::shared_ptr<HttpExchange> &exchange) {
+        kept = exchange;
+        exchange->onClosed([&gone] { gone.set_value(); });
+        exchange->beginStream(200, "text/event-stream");
+    });
+    {
+        auto socket = fixture.connect();
+        asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+        char byte = 0;
+        asio::read(socket, asio::buffer(&byte, 1));
+    }
+    gone.get_future().wait();
+    std::promise<bool> written;
+    kept->write("late", [&written](bool ok) { written.set_value(ok); });
+    REQUIRE_FALSE(written.get_future().get());
+}
+
+TEST_CASE("http exchange dropped without an answer closes its connection")
+{
+    ServerFixture fixture([](const std::shared_ptr<HttpExchange> &) {});
+    REQUIRE(fixture.talk("GET / HTTP/1.1\r\n\r\n").empty());
+}
--- /dev/null
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -0,0 +1,196 @@
+#include "pomeloport/transport/httpclient.h"
+
+#include "addresses.h"
+#include "connectionpool.h"
+
+#include <boost/asio/bind_executor.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace pomeloport {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::uint64_t MaximumReplyBytes = 64ULL * 1024 * 1024;
+
+/// One call from connect to reply; keeps itself alive until its callback has run. All steps run on one strand.
+class CallSession : public std::enable_shared_from_this<CallSession>
+{
+public:
+    CallSession(std::shared_ptr<detail::ConnectionPool> pool, HttpCall call, HttpCallback callback)
+        : m_pool(std::move(pool))
+        , m_strand(asio::make_strand(m_pool->context()))
+        , m_timer(m_strand)
+        , m_call(std::move(call))
+        , m_callback(std::move(callback))
+    {
+    }
+
+    void start()
+    {
+        asio::post(m_strand, [self = shared_from_this()] { self->begin(); });
+    }
+
+private:
+    void begin()
+    {
+        buildRequest();
+        m_timer.expires_after(m_call.timeout);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error) {
+                self->finish(std::nullopt);
+            }
+        });
+        m_socket = m_pool->take(m_call.address);
+        m_reused = m_socket != nullptr;
+        m_reused ? write() : connect();
+    }
+
+    void buildRequest()
+    {
+        m_request.method_string(m_call.method);
+        m_request.target(m_call.target);
+        m_request.version(11);
+        m_request.set(http::field::host, m_call.address);
+        for (const auto &[name, value] : m_call.headers) {
+            m_request.set(name, value);
+        }
+        m_request.body() = std::move(m_call.body);
+        m_request.prepare_payload();
+    }
+
+    void connect()
+    {
+        const auto endpoint = detail::parseEndpoint(m_call.address);
+        if (!endpoint) {
+            finish(std::nullopt);
+            return;
+        }
+        m_reused = false;
+        m_socket = std::make_unique<tcp::socket>(m_pool->context());
+        m_socket->async_connect(*endpoint, asio::bind_executor(m_strand, [self = shared_from_this()](error_code error) {
+            self->connected(error);
+        }));
+    }
+
+    void connected(error_code error)
+    {
+        if (!m_callback) {
+            return;
+        }
+        if (error) {
+            finish(std::nullopt);
+            return;
+        }
+        m_socket->set_option(tcp::no_delay(true), error);
+        write();
+    }
+
+    void write()
+    {
+        m_sent = true;
+        http::async_write(
+            *m_socket,
+            m_request,
+            asio::bind_executor(m_strand, [self = shared_from_this()](error_code error, std::size_t bytes) {
+                self->written(error, bytes);
+            }));
+    }
+
+    void written(error_code error, std::size_t bytes)
+    {
+        if (!m_callback) {
+            return;
+        }
+        if (!error) {
+            read();
+            return;
+        }
+        m_sent = bytes > 0;
+        if (m_reused && !m_sent) {
+            connect();
+            return;
+        }
+        finish(std::nullopt);
+    }
+
+    void read()
+    {
+        m_parser.body_limit(MaximumReplyBytes);
+        http::async_read(*m_socket,
+                         m_buffer,
+                         m_parser,
+                         asio::bind_executor(m_strand, [self = shared_from_this()](error_code error, std::size_t) {
+                             self->received(error);
+                         }));
+    }
+
+    void received(error_code error)
+    {
+        if (!m_callback) {
+            return;
+        }
+        if (error) {
+            finish(std::nullopt);
+            return;
+        }
+        if (m_parser.get().keep_alive() && m_buffer.size() == 0) {
+            m_pool->give(m_call.address, std::move(m_socket));
+        }
+        finish(HttpReply{m_parser.get().result_int(), std::move(m_parser.get().body())});
+    }
+
+    void finish(std::optional<HttpReply> reply)
+    {
+        if (!m_callback) {
+            return;
+        }
+        m_timer.cancel();
+        if (m_socket) {
+            error_code ignored;
+            m_socket->close(ignored);
+        }
+        std::exchange(m_callback, nullptr)(std::move(reply), m_sent);
+    }
+
+    std::shared_ptr<detail::ConnectionPool> m_pool;
+    asio::strand<asio::io_context::executor_type> m_strand;
+    asio::steady_timer m_timer;
+    HttpCall m_call;
+    HttpCallback m_callback;
+    std::unique_ptr<tcp::socket> m_socket;
+    http::request<http::string_body> m_request;
+    http::response_parser<http::string_body> m_parser;
+    boost::beast::flat_buffer m_buffer;
+    bool m_reused = false;
+    bool m_sent = false;
+};
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context &context)
+    : m_pool(std::make_shared<detail::ConnectionPool>(context))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::send(HttpCall call, HttpCallback callback)
+{
+    std::make_shared<CallSession>(m_pool, std::move(call), std::move(callback))->start();
+}
+
+std::shared_ptr<detail::ConnectionPool> HttpClient::pool() const
+{
+    return m_pool;
+}
+
+} // namespace pomeloport
--- /dev/null
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -0,0 +1,371 @@
+#include "httpconnection.h"
+
+#include "addresses.h"
+#include "targets.h"
+
+#include "pomeloport/verdict.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <cctype>
+
+namespace pomeloport::detail {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr unsigned HttpVersion11 = 11;
+constexpr std::size_t LingerBytes = 16 * 1024 * 1024;
+constexpr std::chrono::milliseconds LingerTimeout{2000};
+
+/// A refusal before any handler saw the request, in the form of every failure body.
+std::string refusalBody(const std::string &detail)
+{
+    std::string body = R"({"verdict":")";
+    body += nameOf(Verdict::NotRun);
+    body += R"(","reason":")";
+    body += nameOf(ReasonCode::BadRequest);
+    return body + R"(","detail":")" + detail + "\"}\n";
+}
+
+} // namespace
+
+HttpConnection::HttpConnection(Socket socket, std::shared_ptr<HttpServerState> state)
+    : m_socket(std::move(socket))
+    , m_state(std::move(state))
+    , m_timer(m_socket.get_executor())
+    , m_buffer(m_state->limits.headerBytes + m_state->limits.bodyBytes)
+{
+    Error error;
+    const auto endpoint = m_socket.remote_endpoint(error);
+    m_remote = error ? "unknown" : formatEndpoint(endpoint);
+    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    ++m_state->connections;
+}
+
+HttpConnection::~HttpConnection()
+{
+    --m_state->connections;
+}
+
+HttpConnection::Strand HttpConnection::strand() const
+{
+    return const_cast<Socket &>(m_socket).get_executor();
+}
+
+std::uint64_t HttpConnection::exchange() const
+{
+    return m_exchange;
+}
+
+void HttpConnection::start()
+{
+    m_phase = Phase::Reading;
+    m_parser = nullptr;
+    if (m_buffer.size() > 0) {
+        readHeader();
+        return;
+    }
+    m_buffer.shrink_to_fit();
+    waitReadable();
+}
+
+void HttpConnection::armTimer(std::chrono::milliseconds timeout, bool answer)
+{
+    m_answerTimeout = answer;
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self = shared_from_this()](Error error) {
+        if (!error && self->m_timer.expiry() <= std::chrono::steady_clock::now()) {
+            self->timedOut();
+        }
+    });
+}
+
+void HttpConnection::timedOut()
+{
+    if (m_phase != Phase::Reading && m_phase != Phase::Lingering) {
+        return;
+    }
+    if (m_phase == Phase::Lingering || !m_answerTimeout) {
+        close();
+        return;
+    }
+    refuse(static_cast<unsigned>(http::status::request_timeout), "the request took too long to arrive");
+}
+
+void HttpConnection::waitReadable()
+{
+    armTimer(m_state->limits.idleTimeout, false);
+    m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](Error error) {
+        if (!error && self->m_phase == Phase::Reading) {
+            self->readHeader();
+        }
+    });
+}
+
+void HttpConnection::readHeader()
+{
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
+    m_parser->body_limit(m_state->limits.bodyBytes);
+    armTimer(m_state->limits.headerTimeout, true);
+    http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Error error, std::size_t) {
+        self->headerRead(error);
+    });
+}
+
+void HttpConnection::headerRead(Error error)
+{
+    if (m_phase != Phase::Reading) {
+        return;
+    }
+    if (error) {
+        refuseError(error);
+        return;
+    }
+    armTimer(m_state->limits.idleTimeout, true);
+    if (m_parser->get()[http::field::expect] == "100-continue") {
+        sendContinue();
+        return;
+    }
+    readBody();
+}
+
+void HttpConnection::sendContinue()
+{
+    static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(m_socket, asio::buffer(Continue), [self = shared_from_this()](Error error, std::size_t) {
+        if (error) {
+            self->close();
+            return;
+        }
+        if (self->m_phase == Phase::Reading) {
+            self->readBody();
+        }
+    });
+}
+
+void HttpConnection::readBody()
+{
+    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Error error, std::size_t) {
+        self->bodyRead(error);
+    });
+}
+
+void HttpConnection::bodyRead(Error error)
+{
+    if (m_phase != Phase::Reading) {
+        return;
+    }
+    if (error) {
+        refuseError(error);
+        return;
+    }
+    m_timer.cancel();
+    dispatchRequest();
+}
+
+void HttpConnection::dispatchRequest()
+{
+    m_keepAlive = m_parser->keep_alive();
+    auto request = takeRequest();
+    m_parser = nullptr;
+    if (m_buffer.size() == 0) {
+        m_buffer.shrink_to_fit();
+    }
+    m_phase = Phase::Handling;
+    m_ended = false;
+    ++m_exchange;
+    watchPeer();
+    m_state->handler(std::make_shared<HttpExchange>(shared_from_this(), std::move(request)));
+}
+
+HttpRequest HttpConnection::takeRequest()
+{
+    auto message = m_parser->release();
+    HttpRequest request;
+    request.method = message.method_string();
+    request.target = message.target();
+    request.remoteAddress = m_remote;
+    splitTarget(request.target, request.path, request.query);
+    for (const auto &field : message) {
+        std::string name(field.name_string());
+        std::ranges::transform(name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+        request.headers[std::move(name)] = std::string(field.value());
+    }
+    request.body = std::move(message.body());
+    return request;
+}
+
+void HttpConnection::refuse(unsigned status, const std::string &detail)
+{
+    m_phase = Phase::Replying;
+    m_keepAlive = false;
+    Error ignored;
+    m_socket.cancel(ignored);
+    auto response = std::make_shared<WholeResponse>(static_cast<http::status>(status), HttpVersion11);
+    response->set(http::field::content_type, "application/json");
+    response->body() = refusalBody(detail);
+    sendWhole(std::move(response));
+}
+
+void HttpConnection::refuseError(Error error)
+{
+    if (error == http::error::header_limit || error == http::error::buffer_overflow) {
+        refuse(static_cast<unsigned>(http::status::request_header_fields_too_large), "the headers are too large");
+        return;
+    }
+    if (error == http::error::body_limit) {
+        refuse(static_cast<unsigned>(http::status::payload_too_large), "the body is too large");
+        return;
+    }
+    const bool peerLeft = error == http::error::end_of_stream || error == http::error::partial_message;
+    if (peerLeft || error.category() != make_error_code(http::error::bad_method).category()) {
+        close();
+        return;
+    }
+    refuse(static_cast<unsigned>(http::status::bad_request), "malformed HTTP: " + error.message());
+}
+
+void HttpConnection::reply(unsigned status, std::string contentType, std::string body, const HeaderList &headers)
+{
+    if (m_phase != Phase::Handling) {
+        return;
+    }
+    m_phase = Phase::Replying;
+    m_onClosed = nullptr;
+    auto response = std::make_shared<WholeResponse>(static_cast<http::status>(status), HttpVersion11);
+    response->set(http::field::content_type, contentType);
+    for (const auto &[name, value] : headers) {
+        response->set(name, value);
+    }
+    response->body() = std::move(body);
+    sendWhole(std::move(response));
+}
+
+void HttpConnection::sendWhole(std::shared_ptr<WholeResponse> response)
+{
+    m_keepAlive = m_keepAlive && m_state->keepAlive;
+    response->keep_alive(m_keepAlive);
+    response->prepare_payload();
+    auto &message = *response;
+    http::async_write(
+        m_socket, message, [self = shared_from_this(), response = std::move(response)](Error error, std::size_t) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->finishReply();
+        });
+}
+
+void HttpConnection::finishReply()
+{
+    if (m_phase == Phase::Closed) {
+        return;
+    }
+    m_onClosed = nullptr;
+    if (m_keepAlive) {
+        start();
+        return;
+    }
+    linger();
+}
+
+/// Closes the sending side and drops what still arrives, so that the peer reads the reply before a reset.
+void HttpConnection::linger()
+{
+    m_phase = Phase::Lingering;
+    Error ignored;
+    m_socket.shutdown(Socket::shutdown_send, ignored);
+    armTimer(LingerTimeout, false);
+    m_buffer.clear();
+    discard();
+}
+
+void HttpConnection::discard()
+{
+    constexpr std::size_t PieceBytes = 4096;
+    m_socket.async_read_some(m_buffer.prepare(std::min(PieceBytes, m_buffer.max_size())),
+                             [self = shared_from_this()](Error error, std::size_t bytes) {
+                                 self->m_discarded += bytes;
+                                 if (error || self->m_discarded > LingerBytes) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->discard();
+                             });
+}
+
+void HttpConnection::watchPeer()
+{
+    if (m_watching || m_buffer.size() > 0) {
+        return;
+    }
+    m_watching = true;
+    m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](Error error) {
+        self->m_watching = false;
+        self->peerReadable(error);
+    });
+}
+
+/// A readable socket while a request is handled means an early next request, which waits, or that the peer went away.
+void HttpConnection::peerReadable(Error error)
+{
+    if (error || (m_phase != Phase::Handling && m_phase != Phase::Streaming)) {
+        return;
+    }
+    char byte = 0;
+    m_socket.non_blocking(true, error);
+    const auto bytes = m_socket.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        watchPeer();
+        return;
+    }
+    if (error || bytes == 0) {
+        peerGone();
+    }
+}
+
+void HttpConnection::peerGone()
+{
+    const auto callback = std::exchange(m_onClosed, nullptr);
+    close();
+    if (callback) {
+        callback();
+    }
+}
+
+void HttpConnection::close()
+{
+    m_phase = Phase::Closed;
+    m_timer.cancel();
+    Error ignored;
+    m_socket.close(ignored);
+    m_pending.clear();
+    m_onClosed = nullptr;
+    for (auto &callback : std::exchange(m_pendingCallbacks, {})) {
+        callback(false);
+    }
+}
+
+void HttpConnection::onClosed(std::function<void()> callback)
+{
+    if (m_phase == Phase::Closed) {
+        callback();
+        return;
+    }
+    m_onClosed = std::move(callback);
+}
+
+void HttpConnection::abandon(std::uint64_t exchange)
+{
+    if (exchange == m_exchange && (m_phase == Phase::Handling || (m_phase == Phase::Streaming && !m_ended))) {
+        close();
+    }
+}
+
+} // namespace pomeloport::detail
--- /dev/null
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "pomeloport/transport/httpserver.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The server's side of one connection.
+namespace pomeloport::detail {
+
+/// What all connections of a server share.
+struct HttpServerState
+{
+    HttpLimits limits;
+    HttpHandler handler;
+    std::atomic<std::size_t> connections{0};
+    std::atomic<bool> keepAlive{true};
+};
+
+/// Reads requests one after the other and writes their replies. Keeps itself alive through its pending operations and
+/// its exchange. All members are used on the strand only.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection>
+{
+public:
+    using Strand = boost::asio::strand<boost::asio::io_context::executor_type>;
+    using Socket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, Strand>;
+    using Written = std::function<void(bool ok)>;
+    using HeaderList = std::vector<std::pair<std::string, std::string>>;
+
+    HttpConnection(Socket socket, std::shared_ptr<HttpServerState> state);
+    ~HttpConnection();
+    HttpConnection(const HttpConnection &) = delete;
+    HttpConnection &operator=(const HttpConnection &) = delete;
+
+    /// The strand of this connection.
+    Strand strand() const;
+
+    /// Waits for the next request.
+    void start();
+
+    /// Implementations of the exchange's methods, on the strand.
+    void reply(unsigned status, std::string contentType, std::string body, const HeaderList &headers);
+    void beginStream(unsigned status, std::string contentType);
+    void write(std::string piece, Written written);
+    void endStream();
+    void close();
+    void onClosed(std::function<void()> callback);
+
+    /// Number of the exchange under way.
+    std::uint64_t exchange() const;
+
+    /// Closes the connection when its exchange was dropped without an answer.
+    void abandon(std::uint64_t exchange);
+
+private:
+    using Error = boost::system::error_code;
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using WholeResponse = boost::beast::http::response<boost::beast::http::string_body>;
+
+    void armTimer(std::chrono::milliseconds timeout, bool answer);
+    void timedOut();
+    void waitReadable();
+    void readHeader();
+    void headerRead(Error error);
+    void sendContinue();
+    void readBody();
+    void bodyRead(Error error);
+    void dispatchRequest();
+    HttpRequest takeRequest();
+    void refuse(unsigned status, const std::string &detail);
+    void refuseError(Error error);
+    void sendWhole(std::shared_ptr<WholeResponse> response);
+    void linger();
+    void discard();
+    void watchPeer();
+    void peerReadable(Error error);
+    void peerGone();
+    void flush();
+    void flushed(Error error);
+    void finishReply();
+
+    /// Where the connection stands.
+    enum class Phase {
+        Reading,
+        Handling,
+        Streaming,
+        Replying,
+        Lingering,
+        Closed,
+    };
+
+    Socket m_socket;
+    std::shared_ptr<HttpServerState> m_state;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::unique_ptr<Parser> m_parser;
+    std::string m_remote;
+    std::function<void()> m_onClosed;
+    std::string m_pending;
+    std::string m_writing;
+    std::vector<Written> m_pendingCallbacks;
+    std::vector<Written> m_writingCallbacks;
+    std::size_t m_discarded = 0;
+    std::uint64_t m_exchange = 0;
+    Phase m_phase = Phase::Reading;
+    bool m_keepAlive = true;
+    bool m_writeActive = false;
+    bool m_ended = false;
+    bool m_watching = false;
+    bool m_answerTimeout = false;
+};
+
+} // namespace pomeloport::detail
--- /dev/null
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -0,0 +1,248 @@
+#include "pomeloport/transport/httpserver.h"
+
+#include "addresses.h"
+#include "httpconnection.h"
+
+#include <boost/asio/dispatch.hpp>
+
+namespace pomeloport {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Waits this long before accepting again after a failure, such as having no file descriptors left.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
+
+} // namespace
+
+namespace detail {
+
+/// The accepting side of a server; kept alive by its pending operation.
+class HttpAcceptor : public std::enable_shared_from_this<HttpAcceptor>
+{
+public:
+    HttpAcceptor(asio::io_context &context, HttpLimits limits, HttpHandler handler)
+        : m_context(context)
+        , m_strand(asio::make_strand(context))
+        , m_acceptor(m_strand)
+        , m_retry(m_strand)
+        , m_state(std::make_shared<HttpServerState>())
+    {
+        m_state->limits = limits;
+        m_state->handler = std::move(handler);
+    }
+
+    /// Binds and listens; false with a last reason on failure.
+    bool open(const std::string &address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint) {
+            return false;
+        }
+        const auto error = bind(*endpoint);
+        if (error) {
+            setLastReason("cannot listen on " + address + ": " + error.message());
+            return false;
+        }
+        error_code ignored;
+        m_address = formatEndpoint(m_acceptor.local_endpoint(ignored));
+        return true;
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept(asio::make_strand(m_context),
+                                [self = shared_from_this()](error_code error, HttpConnection::Socket socket) {
+                                    self->accepted(error, std::move(socket));
+                                });
+    }
+
+    void stop()
+    {
+        m_state->keepAlive = false;
+        asio::dispatch(m_strand, [self = shared_from_this()] {
+            error_code ignored;
+            self->m_acceptor.close(ignored);
+            self->m_retry.cancel();
+        });
+    }
+
+    const std::string &address() const
+    {
+        return m_address;
+    }
+
+    HttpServerState &state()
+    {
+        return *m_state;
+    }
+
+private:
+    error_code bind(const tcp::endpoint &endpoint)
+    {
+        error_code error;
+        m_acceptor.open(endpoint.protocol(), error);
+        if (!error) {
+            m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+        }
+        if (!error) {
+            m_acceptor.bind(endpoint, error);
+        }
+        if (!error) {
+            m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+        }
+        return error;
+    }
+
+    void accepted(error_code error, HttpConnection::Socket socket)
+    {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (error) {
+            m_retry.expires_after(AcceptRetryDelay);
+            m_retry.async_wait([self = shared_from_this()](error_code cancelled) {
+                if (!cancelled) {
+                    self->accept();
+                }
+            });
+            return;
+        }
+        auto connection = std::make_shared<HttpConnection>(std::move(socket), m_state);
+        asio::dispatch(connection->strand(), [connection] { connection->start(); });
+        accept();
+    }
+
+    asio::io_context &m_context;
+    HttpConnection::Strand m_strand;
+    asio::basic_socket_acceptor<tcp, HttpConnection::Strand> m_acceptor;
+    asio::steady_timer m_retry;
+    std::shared_ptr<HttpServerState> m_state;
+    std::string m_address;
+};
+
+} // namespace detail
+
+HttpExchange::HttpExchange(std::shared_ptr<detail::HttpConnection> connection, HttpRequest request)
+    : m_connection(std::move(connection))
+    , m_request(std::move(request))
+    , m_number(m_connection->exchange())
+{
+}
+
+HttpExchange::~HttpExchange()
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection, number = m_number] { connection->abandon(number); });
+}
+
+const HttpRequest &HttpExchange::request() const
+{
+    return m_request;
+}
+
+std::string HttpExchange::takeBody()
+{
+    return std::exchange(m_request.body, {});
+}
+
+asio::any_io_executor HttpExchange::executor() const
+{
+    return m_connection->strand();
+}
+
+void HttpExchange::reply(unsigned status,
+                         std::string contentType,
+                         std::string body,
+                         std::vector<std::pair<std::string, std::string>> headers)
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection,
+                    status,
+                    contentType = std::move(contentType),
+                    body = std::move(body),
+                    headers = std::move(headers)]() mutable {
+                       connection->reply(status, std::move(contentType), std::move(body), headers);
+                   });
+}
+
+void HttpExchange::beginStream(unsigned status, std::string contentType)
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection, status, contentType = std::move(contentType)]() mutable {
+                       connection->beginStream(status, std::move(contentType));
+                   });
+}
+
+void HttpExchange::write(std::string piece, std::function<void(bool)> written)
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection, piece = std::move(piece), written = std::move(written)]() mutable {
+                       connection->write(std::move(piece), std::move(written));
+                   });
+}
+
+void HttpExchange::endStream()
+{
+    asio::dispatch(m_connection->strand(), [connection = m_connection] { connection->endStream(); });
+}
+
+void HttpExchange::abort()
+{
+    asio::dispatch(m_connection->strand(), [connection = m_connection] { connection->close(); });
+}
+
+void HttpExchange::onClosed(std::function<void()> callback)
+{
+    asio::dispatch(m_connection->strand(), [connection = m_connection, callback = std::move(callback)]() mutable {
+        connection->onClosed(std::move(callback));
+    });
+}
+
+HttpServer::HttpServer(std::shared_ptr<detail::HttpAcceptor> acceptor)
+    : m_acceptor(std::move(acceptor))
+{
+}
+
+std::shared_ptr<HttpServer> HttpServer::listen(asio::io_context &context,
+                                               const std::string &address,
+                                               HttpLimits limits,
+                                               HttpHandler handler)
+{
+    auto acceptor = std::make_shared<detail::HttpAcceptor>(context, limits, std::move(handler));
+    if (!acceptor->open(address)) {
+        return nullptr;
+    }
+    acceptor->accept();
+    return std::shared_ptr<HttpServer>(new HttpServer(std::move(acceptor)));
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+std::string HttpServer::address() const
+{
+    return m_acceptor->address();
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_acceptor->state().connections;
+}
+
+void HttpServer::closeAfterReply()
+{
+    m_acceptor->state().keepAlive = false;
+}
+
+void HttpServer::stopAccepting()
+{
+    m_acceptor->stop();
+}
+
+} // namespace pomeloport
