--- /dev/null
+++ b/src/pomeloctl/commands.cpp
@@ -0,0 +1,96 @@
+#include "commands.h"
+
+#include "declarationsfile.h"
+#include "operatorclient.h"
+#include "output.h"
+
+#include "pomeloport/lastreason.h"
+
+#include <boost/json.hpp>
+
+#include <iostream>
+
+namespace pomeloctl {
+
+namespace {
+
+ExitCode fail(const std::string &command)
+{
+    std::cerr << "pomeloctl " << command << ": " << pomeloport::lastReason() << '\n';
+    return Failed;
+}
+
+/// Finds the router address of an instance in a status document.
+std::optional<std::string> routerAddress(const boost::json::value &status, const std::string &instance)
+{
+    const auto *instances = status.is_object() ? status.get_object().if_contains("instances") : nullptr;
+    if (instances && instances->is_array()) {
+        for (const auto &entry : instances->get_array()) {
+            const auto *name = entry.is_object() ? entry.get_object().if_contains("instance") : nullptr;
+            const auto *address = entry.is_object() ? entry.get_object().if_contains("http_address") : nullptr;
+            if (name && address && *name == boost::json::value(instance) && address->is_string()) {
+                return std::string(address->get_string());
+            }
+        }
+    }
+    pomeloport::setLastReason("no instance is named " + instance);
+    return std::nullopt;
+}
+
+ExitCode printAnswer(const std::string &command, const std::optional<boost::json::value> &answer, OutputFormat format)
+{
+    if (!answer) {
+        return fail(command);
+    }
+    print(std::cout, *answer, format);
+    return Success;
+}
+
+} // namespace
+
+ExitCode validate(const Options &options)
+{
+    const auto file = loadDeclarations(options.arguments[0]);
+    if (!file) {
+        return UsageError;
+    }
+    print(std::cout,
+          {{"valid", true},
+           {"organisations", file->declarations.organisations.size()},
+           {"intents", file->declarations.intents.size()},
+           {"backends", file->declarations.backends.size()}},
+          options.output);
+    return Success;
+}
+
+ExitCode status(const Options &options)
+{
+    return printAnswer("status", OperatorClient(options.connection).call("GET", "/v1/operator/status"), options.output);
+}
+
+ExitCode drain(const Options &options)
+{
+    OperatorClient client(options.connection);
+    const auto status = client.call("GET", "/v1/operator/status");
+    const auto address = status ? routerAddress(*status, options.arguments[0]) : std::nullopt;
+    if (!address) {
+        return fail("drain");
+    }
+    return printAnswer("drain", client.callAddress(*address, "POST", "/v1/operator/drain"), options.output);
+}
+
+ExitCode explain(const Options &options)
+{
+    pomeloport::setLastReason("no endpoint is given");
+    for (const auto &address : options.connection.endpoints) {
+        const auto answer = OperatorClient(options.connection)
+                                .callAddress(address, "GET", "/v1/operator/explain?request=" + options.arguments[0]);
+        if (answer) {
+            print(std::cout, *answer, options.output);
+            return Success;
+        }
+    }
+    return fail("explain");
+}
+
+} // namespace pomeloctl
--- /dev/null
+++ b/src/pomeloctl/commandtable.cpp
@@ -0,0 +1,36 @@
+#include "commands.h"
+
+namespace pomeloctl {
+
+const std::vector<Command> &commands()
+{
+    static const std::vector<Command> table = {
+        {{"validate",
+          "FILE",
+          "Check a file of declarations",
+          "Prints every error as FILE:LINE: MESSAGE and exits with 2 when there are any.\n",
+          1,
+          1},
+         validate},
+        {{"diff", "FILE OTHER", "Show what differs", "Compares two files of declarations field by field.\n", 2, 2},
+         diff},
+        {{"status", "", "Show instances and backend servers", "Asks the first endpoint that answers.\n", 0, 0}, status},
+        {{"drain",
+          "INSTANCE",
+          "Take an instance out of service",
+          "The instance leaves discovery, ends its streams, releases its leases and exits with 0.\n",
+          1,
+          1},
+         drain},
+        {{"explain",
+          "REQUEST",
+          "Show why a request went where it went",
+          "Asks each endpoint in turn; instances remember their recent requests only.\n",
+          1,
+          1},
+         explain},
+    };
+    return table;
+}
+
+} // namespace pomeloctl
--- /dev/null
+++ b/testsuite/ctl/run.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# pomeloctl on files: examples are valid, a broken file lists every error with its line, differences name the field.
+set -euo pipefail
+programs=$(cd "$1" && pwd)
+cd "$(dirname "$0")"
+examples=../../examples
+actual=$(
+    for deployment in clipback kandy; do
+        "$programs/pomeloctl" validate "$examples/$deployment.yaml" --output json
+    done
+    "$programs/pomeloctl" validate broken.yaml 2>&1 || echo "exit=$?"
+    "$programs/pomeloctl" diff "$examples/clipback.yaml" <(sed '0,/worth: 5/s//worth: 6/' "$examples/clipback.yaml")
+    "$programs/pomeloctl" status 2>&1 || echo "exit=$?"
+    "$programs/pomeloctl" status --endpoint nowhere 2>&1 || echo "exit=$?"
+    "$programs/pomeloctl" fly 2>&1 || echo "exit=$?"
+)
+diff expected.txt <(printf '%s\n' "$actual")
