--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -1,73 +1,17 @@
-#include "connectionpool.h"
+#include "httpfixture.h"
 
 #include "pomeloport/transport/httpclient.h"
-#include "pomeloport/transport/httpserver.h"
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
-#include <array>
 #include <future>
-#include <thread>
 
 using namespace pomeloport;
 namespace asio = boost::asio;
-using asio::ip::tcp;
+using detail::ServerFixture;
 
 namespace {
 
-constexpr const char *TestAddress = "127.42.0.1:0";
-
-/// Runs a server on two threads.
-struct ServerFixture
-{
-    explicit ServerFixture(HttpHandler handler, HttpLimits limits = {})
-        : server(HttpServer::listen(context, TestAddress, limits, std::move(handler)))
-    {
-        for (auto &thread : threads) {
-            thread = std::thread([this] { context.run(); });
-        }
-    }
-
-    ~ServerFixture()
-    {
-        server->stopAccepting();
-        guard.reset();
-        context.stop();
-        for (auto &thread : threads) {
-            thread.join();
-        }
-    }
-
-    tcp::socket connect()
-    {
-        const auto address = server->address();
-        const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
-        tcp::socket socket(clientContext);
-        socket.connect({asio::ip::make_address("127.42.0.1"), port});
-        return socket;
-    }
-
-    /// Sends raw text and returns everything the server answers until it closes.
-    std::string talk(const std::string &text)
-    {
-        auto socket = connect();
-        boost::system::error_code error;
-        asio::write(socket, asio::buffer(text), error);
-        std::string answer;
-        asio::read(socket, asio::dynamic_buffer(answer), error);
-        return answer;
-    }
-
-    asio::io_context context;
-    asio::io_context clientContext;
-    asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
-    std::shared_ptr<HttpServer> server;
-    std::array<std::thread, 2> threads;
-};
-
 void answerPath(const std::shared_ptr<HttpExchange> &exchange)
 {
     const auto &request = exchange->request();
--- /dev/null
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -0,0 +1,61 @@
+#include "replyparser.h"
+
+#include <boost/beast/http/error.hpp>
+
+namespace pomeloport::detail {
+
+ReplyParser::ReplyParser(Sink sink)
+    : m_sink(std::move(sink))
+{
+    eager(true);
+    body_limit(boost::none);
+}
+
+unsigned ReplyParser::status() const
+{
+    return m_status;
+}
+
+void ReplyParser::on_request_impl(boost::beast::http::verb, Text, Text, int, Error &)
+{
+}
+
+void ReplyParser::on_response_impl(int code, Text, int, Error &)
+{
+    m_status = static_cast<unsigned>(code);
+}
+
+void ReplyParser::on_field_impl(boost::beast::http::field, Text, Text, Error &)
+{
+}
+
+void ReplyParser::on_header_impl(Error &)
+{
+}
+
+void ReplyParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &)
+{
+}
+
+std::size_t ReplyParser::on_body_impl(Text body, Error &error)
+{
+    if (!m_sink({body.data(), body.size()})) {
+        error = boost::beast::http::error::unexpected_body;
+    }
+    return body.size();
+}
+
+void ReplyParser::on_chunk_header_impl(std::uint64_t, Text, Error &)
+{
+}
+
+std::size_t ReplyParser::on_chunk_body_impl(std::uint64_t, Text body, Error &error)
+{
+    return on_body_impl(body, error);
+}
+
+void ReplyParser::on_finish_impl(Error &)
+{
+}
+
+} // namespace pomeloport::detail
--- /dev/null
+++ b/src/libpomeloport/transport/replyparser.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <functional>
+#include <string_view>
+
+/// Parsing of streamed HTTP replies without copies.
+namespace pomeloport::detail {
+
+/// Parses one reply and hands each piece of its body on as soon as it arrives, without chunk framing. Feed it by put().
+class ReplyParser : public boost::beast::http::basic_parser<false>
+{
+public:
+    /// Receives pieces of the body; returns false to fail the parse.
+    using Sink = std::function<bool(std::string_view piece)>;
+
+    explicit ReplyParser(Sink sink);
+
+    /// The status code; 0 before the status line.
+    unsigned status() const;
+
+private:
+    using Error = boost::beast::error_code;
+    using Text = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb, Text, Text, int, Error &) override;
+    void on_response_impl(int code, Text reason, int version, Error &error) override;
+    void on_field_impl(boost::beast::http::field, Text, Text, Error &) override;
+    void on_header_impl(Error &error) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &error) override;
+    std::size_t on_body_impl(Text body, Error &error) override;
+    void on_chunk_header_impl(std::uint64_t size, Text extensions, Error &error) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remaining, Text body, Error &error) override;
+    void on_finish_impl(Error &error) override;
+
+    Sink m_sink;
+    unsigned m_status = 0;
+};
+
+} // namespace pomeloport::detail
