--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -6,6 +6,7 @@
 #include "pomeloport/verdict.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -211,7 +212,8 @@
     std::string blob;
 };
 
-/// Stop reading an attempt; its late events are not wanted. Frees the router's ledger entry for it.
+/// Stop reading an attempt; its late events are not wanted. Nothing of it may be sent from here on: an attempt closed
+/// before AttemptSending counts as not run. Frees the router's ledger entry for it.
 struct CloseAttempt
 {
     std::uint32_t attempt = 0;
@@ -281,6 +283,9 @@
     Duration maximumRetryDelay = std::chrono::seconds(2);
     /// An attempt that sends nothing for this long after its first chunk counts as broken.
     Duration stallTimeout = std::chrono::seconds(5);
+    /// Time kept before the deadline to release the claim of an action that has not started, at most a quarter of the
+    /// request's whole time.
+    Duration settleTime = std::chrono::milliseconds(250);
 };
 
 /// Asks the retry budget for one more attempt.
