--- a/src/include/pomelofake/platformmodel.h
+++ b/src/include/pomelofake/platformmodel.h
@@ -22,7 +22,7 @@
 {
     double writesPerSecond = 500;
     double readsPerSecond = 2000;
-    std::size_t maximumValueBytes = 1024 * 1024;
+    std::size_t maximumValueBytes = 1'048'576;
     /// How long a watch waits when its caller names no time.
     pomeloport::Duration watchTimeout = std::chrono::seconds(30);
     /// Age of the instance list as read, at most History::MaximumLag.
--- a/src/libpomelofake/enginemodel.cpp
+++ b/src/libpomelofake/enginemodel.cpp
@@ -32,11 +32,21 @@
     return {call.segmentBegin, call.segmentEnd};
 }
 
+std::uint64_t importedTokens(const GenerateCall &call)
+{
+    std::uint64_t tokens = 0;
+    for (const auto &reference : call.imports) {
+        tokens += reference.tokens;
+    }
+    return tokens;
+}
+
 bool isValid(const GenerateCall &call)
 {
     const auto [begin, end] = segmentOf(call);
-    const bool lastSegment = end == call.promptTokens;
-    return begin < end && end <= call.promptTokens && (call.exportOnly || (lastSegment && call.maxTokens > 0))
+    const bool wholeContext = importedTokens(call) == begin;
+    const bool decodes = end == call.promptTokens && call.maxTokens > 0;
+    return begin < end && end <= call.promptTokens && wholeContext && (call.exportOnly || decodes)
         && call.resumeFrom <= call.maxTokens;
 }
 
--- a/src/libpomelofake/enginemodel_test.cpp
+++ b/src/libpomelofake/enginemodel_test.cpp
@@ -158,6 +158,20 @@
     CHECK(model.kvTokensUsed() == 0);
 }
 
+TEST_CASE("engine model: the last segment needs all earlier ones")
+{
+    EngineModel model(settingsWithModel());
+    auto last = callOf(1, 900'000, 2);
+    last.segmentBegin = 600'000;
+    last.segmentEnd = 900'000;
+    last.imports = {{"engine-2", "blob-1", 300'000}};
+    CHECK(model.submit(last, Start)->code == RefusalCode::Bad);
+    last.imports.push_back({"engine-3", "blob-1", 300'000});
+    REQUIRE_FALSE(model.submit(last, Start));
+    CHECK(model.kvTokensUsed() == 300'002);
+    CHECK(endOf(runUntilIdle(model), 1).end.count == 2);
+}
+
 TEST_CASE("engine model: cancel frees memory and says whether the stream had started")
 {
     auto settings = settingsWithModel();
