--- /dev/null
+++ b/src/include/pomeloport/coordination/decayingsum.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "pomeloport/clock.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomeloport {
+
+/// A sum whose parts lose weight exponentially with age; divided by the time constant it is a rate per second.
+class DecayingSum
+{
+public:
+    /// The time constant must be positive.
+    explicit DecayingSum(Duration timeConstant)
+        : m_timeConstant(seconds(timeConstant))
+    {
+    }
+
+    /// Adds a part.
+    void add(double value, Instant now)
+    {
+        m_sum = at(now) + value;
+        m_time = now;
+    }
+
+    /// The sum as weighted at the given time.
+    double at(Instant now) const
+    {
+        return m_sum == 0 ? 0 : m_sum * std::exp(-std::max(0.0, seconds(now - m_time)) / m_timeConstant);
+    }
+
+    /// Parts per second, as averaged over the time constant.
+    double rate(Instant now) const
+    {
+        return at(now) / m_timeConstant;
+    }
+
+private:
+    double m_timeConstant;
+    double m_sum = 0;
+    Instant m_time{};
+};
+
+} // namespace pomeloport
