--- a/src/include/pomeloport/transport/framedlink.h
+++ b/src/include/pomeloport/transport/framedlink.h
@@ -19,9 +19,9 @@
 struct FrameLimits
 {
     /// Largest message in either direction, in bytes.
-    std::size_t messageBytes = 16U * 1024 * 1024;
+    std::size_t messageBytes = std::size_t{16} * 1024 * 1024;
     /// Bytes that may wait to be sent; a connection whose peer reads too slowly is closed beyond it.
-    std::size_t queuedBytes = 64U * 1024 * 1024;
+    std::size_t queuedBytes = std::size_t{64} * 1024 * 1024;
     /// Time for the peer to prove that it knows the key.
     std::chrono::milliseconds handshakeTimeout{3000};
     /// Delay before the first reconnection of a client; doubles up to the maximum, with jitter.
--- /dev/null
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -0,0 +1,232 @@
+#include "pomeloport/transport/platformclient.h"
+
+#include "../protocol/jsonfields.h"
+
+#include "pomeloport/logging.h"
+
+#include <cctype>
+
+namespace pomeloport {
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusConflict = 409;
+constexpr unsigned StatusTooManyRequests = 429;
+/// Time beyond a watch's own after which its answer counts as missing.
+constexpr std::chrono::milliseconds WatchGrace{5'000};
+
+std::string percentEncoded(std::string_view text)
+{
+    constexpr const char *Digits = "0123456789ABCDEF";
+    constexpr unsigned HighShift = 4;
+    constexpr unsigned LowMask = 15;
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            result += c;
+            continue;
+        }
+        result += '%';
+        result += Digits[byte >> HighShift];
+        result += Digits[byte & LowMask];
+    }
+    return result;
+}
+
+std::string objectTarget(const StoreCall &call)
+{
+    return "/v1/objects/" + percentEncoded(call.kind) + '/' + percentEncoded(call.name);
+}
+
+std::string versionQuery(const StoreCall &call)
+{
+    const auto version = call.operation == StoreOperation::Create ? 0 : call.ifVersion;
+    return "?if_version=" + std::to_string(version);
+}
+
+bool isWrite(StoreOperation operation)
+{
+    return operation == StoreOperation::Create || operation == StoreOperation::Update
+        || operation == StoreOperation::Remove;
+}
+
+StoreObject readObject(detail::JsonReader &reader, const StoreCall &call)
+{
+    StoreObject object;
+    object.kind = call.kind;
+    object.name = reader.text("name");
+    object.value = reader.text("value");
+    object.version = reader.number("version", true);
+    object.removed = reader.boolean("removed");
+    return object;
+}
+
+/// Reads the body of a reply with status 200.
+bool readOk(const StoreCall &call, const std::string &body, StoreReply &result)
+{
+    if (call.operation == StoreOperation::Remove && body.empty()) {
+        return true;
+    }
+    detail::JsonReader reader(body);
+    result.storeVersion = reader.number("version", call.operation != StoreOperation::Remove);
+    switch (call.operation) {
+    case StoreOperation::Get:
+        result.objects.push_back(readObject(reader, call));
+        break;
+    case StoreOperation::Create:
+    case StoreOperation::Update:
+        result.objects.push_back({call.kind, call.name, call.value, result.storeVersion, false});
+        break;
+    case StoreOperation::Remove:
+        break;
+    case StoreOperation::List:
+    case StoreOperation::Watch:
+        for (const auto &entry : reader.array("objects")) {
+            detail::JsonReader fields(entry);
+            result.objects.push_back(readObject(fields, call));
+            if (!fields.ok()) {
+                return false;
+            }
+        }
+        break;
+    }
+    return reader.ok();
+}
+
+/// The object as it stands, where a conflict's body has one.
+void readConflict(const StoreCall &call, const std::string &body, StoreReply &result)
+{
+    detail::JsonReader reader(body);
+    auto object = readObject(reader, call);
+    if (reader.ok() && object.version != 0) {
+        object.name = call.name;
+        result.storeVersion = object.version;
+        result.objects.push_back(std::move(object));
+    }
+}
+
+} // namespace
+
+HttpCall platformRequest(const StoreCall &call)
+{
+    HttpCall request;
+    request.method = "GET";
+    switch (call.operation) {
+    case StoreOperation::Get:
+        request.target = objectTarget(call);
+        break;
+    case StoreOperation::Create:
+    case StoreOperation::Update:
+        request.method = "PUT";
+        request.target = objectTarget(call) + versionQuery(call);
+        request.body = call.value;
+        break;
+    case StoreOperation::Remove:
+        request.method = "DELETE";
+        request.target = objectTarget(call) + versionQuery(call);
+        break;
+    case StoreOperation::List:
+        request.target = "/v1/objects/" + percentEncoded(call.kind) + "?prefix=" + percentEncoded(call.name);
+        break;
+    case StoreOperation::Watch:
+        request.target = "/v1/watch/" + percentEncoded(call.kind) + "?after=" + std::to_string(call.ifVersion)
+            + "&timeout_ms=" + std::to_string(PlatformClient::WatchTime.count());
+        break;
+    }
+    return request;
+}
+
+StoreReply platformReply(const StoreCall &call, const std::optional<HttpReply> &reply, bool sent)
+{
+    StoreReply result;
+    result.id = call.id;
+    if (!reply) {
+        result.status = !sent && isWrite(call.operation) ? StoreStatus::Rejected : StoreStatus::Unavailable;
+        return result;
+    }
+    switch (reply->status) {
+    case StatusOk:
+        result.status = readOk(call, reply->body, result) ? StoreStatus::Ok : StoreStatus::Unavailable;
+        if (result.status != StoreStatus::Ok) {
+            result.objects.clear();
+        }
+        break;
+    case StatusNotFound:
+        result.status = StoreStatus::NotFound;
+        break;
+    case StatusConflict:
+        result.status = StoreStatus::Conflict;
+        readConflict(call, reply->body, result);
+        break;
+    case StatusBadRequest:
+        logEvent(LogLevel::Error, "store_bad_request", {{"operation", nameOf(call.operation)}, {"kind", call.kind}});
+        result.status = StoreStatus::Rejected;
+        break;
+    case StatusTooManyRequests:
+        result.status = StoreStatus::Rejected;
+        break;
+    default:
+        result.status = StoreStatus::Unavailable;
+    }
+    return result;
+}
+
+std::optional<std::vector<PlatformInstance>> decodePlatformInstances(std::string_view json)
+{
+    detail::JsonReader reader(json);
+    std::vector<PlatformInstance> result;
+    for (const auto &entry : reader.array("instances")) {
+        detail::JsonReader fields(entry);
+        PlatformInstance instance;
+        instance.name = fields.text("name", true);
+        instance.address = fields.text("address", true);
+        instance.leaving = fields.text("state") == "leaving";
+        const auto role = valueOf<PlatformRole>(fields.text("kind", true));
+        if (!fields.ok() || !role) {
+            continue;
+        }
+        instance.role = *role;
+        result.push_back(std::move(instance));
+    }
+    return reader.ok() ? std::optional(std::move(result)) : std::nullopt;
+}
+
+PlatformClient::PlatformClient(boost::asio::io_context &context, std::string address, std::chrono::milliseconds timeout)
+    : m_address(std::move(address))
+    , m_timeout(timeout)
+    , m_client(std::make_shared<HttpClient>(context))
+{
+}
+
+void PlatformClient::call(const StoreCall &call, std::function<void(StoreReply)> callback)
+{
+    auto request = platformRequest(call);
+    request.address = m_address;
+    request.timeout = call.operation == StoreOperation::Watch ? WatchTime + WatchGrace : m_timeout;
+    m_client->send(std::move(request), [call, callback = std::move(callback)](auto reply, bool sent) {
+        callback(platformReply(call, reply, sent));
+    });
+}
+
+void PlatformClient::instances(std::function<void(std::optional<std::vector<PlatformInstance>>)> callback)
+{
+    HttpCall request{m_address, "GET", "/v1/instances", {}, {}, m_timeout};
+    m_client->send(std::move(request), [callback = std::move(callback)](auto reply, bool) {
+        const bool usable = reply && reply->status == StatusOk;
+        callback(usable ? decodePlatformInstances(reply->body) : std::nullopt);
+    });
+}
+
+void PlatformClient::loadWeights(const std::string &item, std::function<void(bool)> callback)
+{
+    HttpCall request{m_address, "POST", "/v1/weights/" + percentEncoded(item), {}, {}, m_timeout};
+    m_client->send(std::move(request), [callback = std::move(callback)](auto reply, bool) {
+        callback(reply && reply->status == StatusOk);
+    });
+}
+
+} // namespace pomeloport
