--- /dev/null
+++ b/src/include/pomeloport/protocol/controlmessages.h
@@ -0,0 +1,313 @@
+#pragma once
+
+#include "pomeloport/protocol/identity.h"
+#include "pomeloport/state/snapshot.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+/// Datagrams between controllers: membership, spread of configuration and of load reports. Each fits one datagram;
+/// any of them may be lost, repeated or come late.
+namespace pomeloport {
+
+namespace control {
+
+/// What an instance says of itself, or others say of it. Of two records of one instance the one with the higher
+/// incarnation holds, then the one with the higher revision, then the one with the worse state.
+struct MemberRecord
+{
+    OwnerId id;
+    /// Raised by the instance itself when its state changes or when it refutes a suspicion.
+    std::uint32_t revision = 0;
+    InstanceState state = InstanceState::Alive;
+    std::string region;
+    std::string failureDomain;
+    std::string httpAddress;
+    std::string peerAddress;
+    std::string datagramAddress;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, revision, state, region, failureDomain, httpAddress, peerAddress, datagramAddress);
+    }
+};
+
+/// How to reach an instance of another region.
+struct RegionContact
+{
+    OwnerId id;
+    std::string failureDomain;
+    std::string httpAddress;
+    std::string peerAddress;
+    std::string datagramAddress;
+
+    bool operator==(const RegionContact &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, failureDomain, httpAddress, peerAddress, datagramAddress);
+    }
+};
+
+/// What other regions know of a region.
+struct RegionSummary
+{
+    std::string region;
+    /// Milliseconds of calendar time at its author; the highest holds.
+    std::uint64_t stamp = 0;
+    std::uint32_t liveInstances = 0;
+    /// The configuration version that all live instances of the region have at least.
+    std::uint64_t lowestConfigVersion = 0;
+    /// Some instances that lack the region's highest version.
+    std::vector<std::string> lagging;
+    std::vector<RegionContact> contacts;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(region, stamp, liveInstances, lowestConfigVersion, lagging, contacts);
+    }
+};
+
+/// Part of each heartbeat: the sender's own record, digests that show what peers lack, and news.
+struct Gossip
+{
+    MemberRecord self;
+    /// Digest of the members of the region that the sender takes for live.
+    std::uint64_t memberDigest = 0;
+    std::uint64_t configVersion = 0;
+    std::vector<MemberRecord> records;
+    std::vector<RegionSummary> regions;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(self, memberDigest, configVersion, records, regions);
+    }
+};
+
+/// A heartbeat; answered by Ack. One sent on behalf of another instance names where its Ack is forwarded to.
+struct Ping
+{
+    std::uint64_t number = 0;
+    std::string relayTo;
+    Gossip gossip;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, relayTo, gossip);
+    }
+};
+
+struct Ack
+{
+    std::uint64_t number = 0;
+    std::string relayTo;
+    Gossip gossip;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, relayTo, gossip);
+    }
+};
+
+/// Asks a peer to send a Ping on behalf of the sender, whose own Ping was not answered.
+struct PingRequest
+{
+    std::uint64_t number = 0;
+    std::string targetAddress;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, targetAddress);
+    }
+};
+
+/// One record in a digest list.
+struct MemberDigest
+{
+    std::uint32_t name = 0;
+    std::uint32_t content = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(name, content);
+    }
+};
+
+/// Sent when member digests differ: the records that the sender takes for live.
+struct SyncOffer
+{
+    std::vector<MemberDigest> entries;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(entries);
+    }
+};
+
+/// Records that the receiver lacks, and the names of those that the sender wants.
+struct SyncRecords
+{
+    std::vector<MemberRecord> records;
+    std::vector<std::uint32_t> wanted;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(records, wanted);
+    }
+};
+
+/// Summaries for another region.
+struct RegionExchange
+{
+    std::vector<RegionSummary> regions;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(regions);
+    }
+};
+
+/// The change from one version of the declarations' text to the next: what stands between the bytes that both share.
+struct ConfigPatch
+{
+    std::uint64_t fromVersion = 0;
+    std::uint64_t toVersion = 0;
+    std::uint64_t prefixBytes = 0;
+    std::uint64_t suffixBytes = 0;
+    std::string middle;
+    /// xxHash64 of the whole new text.
+    std::uint64_t digest = 0;
+    /// Change token of the new version.
+    std::string token;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(fromVersion, toVersion, prefixBytes, suffixBytes, middle, digest, token);
+    }
+};
+
+/// Announces a configuration version, with the patches that lead to it where they are short.
+struct ConfigAnnounce
+{
+    std::uint64_t version = 0;
+    std::vector<ConfigPatch> patches;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, patches);
+    }
+};
+
+/// Asks for what leads from a version to the receiver's; answered by ConfigAnnounce.
+struct ConfigPull
+{
+    std::uint64_t have = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(have);
+    }
+};
+
+/// Load of one engine in compact units.
+struct EngineLoad
+{
+    /// Low 32 bits of the xxHash64 of the engine's name.
+    std::uint32_t engine = 0;
+    BackendState state = BackendState::Live;
+    /// Age of the report when it was sent, in milliseconds.
+    std::uint32_t ageMs = 0;
+    std::uint64_t sequence = 0;
+    /// The engine's epoch folded to 16 bits; differs after a restart.
+    std::uint16_t epoch = 0;
+    /// In units of 256 tokens.
+    std::uint32_t kvUsed = 0;
+    std::uint32_t queuedPrefill = 0;
+    std::uint32_t queuedBulk = 0;
+    std::uint32_t runningStreams = 0;
+    std::uint32_t queuedStreams = 0;
+    /// In units of 16 tokens a second.
+    std::uint32_t prefillRate = 0;
+    /// In units of 100 microseconds.
+    std::uint32_t decodeStep = 0;
+    /// Indices into the sorted names of everything that the configuration asks engines to load.
+    std::vector<std::uint16_t> loaded;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(engine, state, ageMs, sequence, epoch, kvUsed, queuedPrefill, queuedBulk);
+        archive(runningStreams, queuedStreams, prefillRate, decodeStep, loaded);
+    }
+};
+
+/// Load of one instance and of the engines whose home it is.
+struct InstanceReport
+{
+    OwnerId id;
+    std::uint64_t sequence = 0;
+    std::uint64_t configVersion = 0;
+    /// Open requests over the limit, in units of 1/255.
+    std::uint8_t load = 0;
+    std::vector<EngineLoad> engines;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(id, sequence, configVersion, load, engines);
+    }
+};
+
+/// Reports on their way around the region.
+struct LoadShare
+{
+    std::vector<InstanceReport> reports;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(reports);
+    }
+};
+
+} // namespace control
+
+/// Any datagram between controllers.
+using ControlMessage = std::variant<control::Ping,
+                                    control::Ack,
+                                    control::PingRequest,
+                                    control::SyncOffer,
+                                    control::SyncRecords,
+                                    control::RegionExchange,
+                                    control::ConfigAnnounce,
+                                    control::ConfigPull,
+                                    control::LoadShare>;
+
+/// Bytes that one message may take.
+constexpr std::size_t ControlMessageBytes = 1200;
+
+/// Encodes a message for one datagram.
+std::string encode(const ControlMessage &message);
+
+/// Decodes a datagram's payload. Returns nothing, with a last reason, for truncated, forged or unknown input.
+std::optional<ControlMessage> decodeControlMessage(std::string_view bytes);
+
+} // namespace pomeloport
