Avoid a false overlap warning in the discovery test

Cause: g++ 12 reports an overlap where a short literal is assigned to a string, and warnings are errors. Change: the literal is moved in as a string.

--- a/src/libpomeloport/coordination/discovery_test.cpp
+++ b/src/libpomeloport/coordination/discovery_test.cpp
@@ -54,7 +54,7 @@
                           instance("2", "b", InstanceState::Alive, 0),
                           instance("3", "a", InstanceState::Alive, 0),
                           instance("4", "a", InstanceState::Alive, 0)};
-    snapshot.instances.back().region = "far";
+    snapshot.instances.back().region = std::string("far-away");
     const auto answer = discover(snapshot, {"r", "a"});
     REQUIRE(names(answer) == std::vector<std::string>{"3", "2", "1", "4"});
     REQUIRE(answer.endpoints[0].weight == 400);
