--- a/src/libpomeloport/coordination/discovery_test.cpp
+++ b/src/libpomeloport/coordination/discovery_test.cpp
@@ -10,7 +10,7 @@
 {
     InstanceView view;
     view.id = {name, 1};
-    view.region = "r";
+    view.region = std::string("r");
     view.failureDomain = domain;
     view.httpAddress = std::string("127.42.0.1:").append(name);
     view.state = state;
