--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -77,7 +77,9 @@
                std::vector<std::pair<std::string, std::string>> headers = {});
 
     /// Starts a reply in chunked encoding.
-    void beginStream(unsigned status, std::string contentType);
+    void beginStream(unsigned status,
+                     std::string contentType,
+                     std::vector<std::pair<std::string, std::string>> headers = {});
 
     /// Sends one piece of a streamed reply and reports whether it was handed to the network. Pieces written before that
     /// are kept in memory and sent together, so a sender with bounded memory waits for the callback. Empty pieces are
--- a/src/libpomeloport/transport/httpconnection.h
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -49,7 +49,7 @@
 
     /// Implementations of the exchange's methods, on the strand.
     void reply(unsigned status, std::string contentType, std::string body, const HeaderList &headers);
-    void beginStream(unsigned status, std::string contentType);
+    void beginStream(unsigned status, std::string contentType, const HeaderList &headers);
     void write(std::string piece, Written written);
     void endStream();
     void close();
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -169,12 +169,16 @@
                    });
 }
 
-void HttpExchange::beginStream(unsigned status, std::string contentType)
-{
-    asio::dispatch(m_connection->strand(),
-                   [connection = m_connection, status, contentType = std::move(contentType)]() mutable {
-                       connection->beginStream(status, std::move(contentType));
-                   });
+void HttpExchange::beginStream(unsigned status,
+                               std::string contentType,
+                               std::vector<std::pair<std::string, std::string>> headers)
+{
+    asio::dispatch(
+        m_connection->strand(),
+        [connection = m_connection,
+         status,
+         contentType = std::move(contentType),
+         headers = std::move(headers)]() mutable { connection->beginStream(status, std::move(contentType), headers); });
 }
 
 void HttpExchange::write(std::string piece, std::function<void(bool)> written)
--- a/src/libpomeloport/transport/httpstream.cpp
+++ b/src/libpomeloport/transport/httpstream.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-void HttpConnection::beginStream(unsigned status, std::string contentType)
+void HttpConnection::beginStream(unsigned status, std::string contentType, const HeaderList &headers)
 {
     if (m_phase != Phase::Handling) {
         return;
@@ -37,6 +37,9 @@
     m_pending += "HTTP/1.1 " + std::to_string(status) + " ";
     m_pending += http::obsolete_reason(static_cast<http::status>(status));
     m_pending += "\r\nContent-Type: " + contentType + "\r\nCache-Control: no-store\r\nTransfer-Encoding: chunked\r\n";
+    for (const auto &[name, value] : headers) {
+        m_pending += name + ": " + value + "\r\n";
+    }
     m_pending += m_keepAlive ? "\r\n" : "Connection: close\r\n\r\n";
     flush();
 }
