Add pomelo-router

Cause: callers need admission, routing, streams, discovery, cancel, actions and metrics on every entry instance. A prompt larger than all suitable engines together is refused as not_run at admission.

--- a/src/include/pomeloport/coordination/requestadmission.h
+++ b/src/include/pomeloport/coordination/requestadmission.h
@@ -39,6 +39,9 @@
 /// Returns the token of an Authorization field of the form "Bearer TOKEN", or an empty text.
 std::string_view bearerToken(std::string_view authorization);
 
+/// Compares without stopping at the first difference, so that timing tells nothing about a token.
+bool equalTokens(std::string_view left, std::string_view right);
+
 /// Finds the organisation whose callers use this token; null when there is none.
 const Organisation *organisationOf(std::string_view token, const Declarations &declarations);
 
--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -125,6 +125,9 @@
     /// Number of open connections.
     std::size_t connections() const;
 
+    /// Number of connections with a request whose reply the peer may not have received to its end.
+    std::size_t busyConnections() const;
+
     /// Sends "Connection: close" with every reply from now on.
     void closeAfterReply();
 
--- a/src/include/pomeloport/state/requestmetrics.h
+++ b/src/include/pomelorouter/requestmetrics.h
@@ -10,7 +10,7 @@
 #include <string>
 
 /// Histograms and counters of requests per organisation and class of prompt length, in Prometheus text.
-namespace pomeloport {
+namespace pomelorouter {
 
 /// The series of one organisation and one class. All methods are safe from any thread and do not lock.
 class RequestSeries
@@ -22,16 +22,16 @@
     RequestSeries &operator=(const RequestSeries &) = delete;
 
     /// Time from the arrival of the request to its first token.
-    void recordFirstToken(Duration elapsed);
+    void recordFirstToken(pomeloport::Duration elapsed);
 
     /// Time between two tokens.
-    void recordTokenGap(Duration elapsed);
+    void recordTokenGap(pomeloport::Duration elapsed);
 
     /// Time from the arrival of the request to the opening of its first attempt.
-    void recordQueueWait(Duration elapsed);
+    void recordQueueWait(pomeloport::Duration elapsed);
 
     /// Counts the end of a request; a reason belongs to a failure.
-    void countVerdict(Verdict verdict, std::optional<ReasonCode> reason);
+    void countVerdict(pomeloport::Verdict verdict, std::optional<pomeloport::ReasonCode> reason);
 
 private:
     friend class RequestMetrics;
@@ -50,7 +50,7 @@
     RequestMetrics &operator=(const RequestMetrics &) = delete;
 
     /// Returns the series, which stays valid for as long as the caller holds it.
-    std::shared_ptr<RequestSeries> series(const std::string &organisation, PromptClass promptClass);
+    std::shared_ptr<RequestSeries> series(const std::string &organisation, pomeloport::PromptClass promptClass);
 
     /// Formats all series in the Prometheus text format, version 0.0.4.
     std::string text() const;
@@ -60,4 +60,4 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
-} // namespace pomeloport
+} // namespace pomelorouter
--- a/src/libpomeloport/coordination/requestadmission.cpp
+++ b/src/libpomeloport/coordination/requestadmission.cpp
@@ -1,6 +1,6 @@
 #include "pomeloport/coordination/requestadmission.h"
 
-#include "pomeloport/lastreason.h"
+#include "pomeloport/coordination/eligibility.h"
 
 #include <xxhash.h>
 
@@ -22,19 +22,6 @@
     return list.empty() || std::ranges::find(list, name) != list.end();
 }
 
-/// Compares without stopping at the first difference, so that timing tells nothing about a token.
-bool equalTokens(std::string_view left, std::string_view right)
-{
-    if (left.size() != right.size()) {
-        return false;
-    }
-    unsigned difference = 0;
-    for (std::size_t i = 0; i < left.size(); ++i) {
-        difference |= static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(right[i]);
-    }
-    return difference == 0;
-}
-
 std::optional<Failure> checkNames(const CallerRequest &request, const RequestLimits &limits)
 {
     if (request.kind.empty() || request.kind.size() > limits.nameBytes) {
@@ -101,6 +88,25 @@
     return XXH64(request.model.data(), request.model.size(), digest);
 }
 
+/// Refuses what all suitable engines together could not hold. Shorter prompts are left to routing.
+std::optional<Failure> checkSize(const RequestSpec &spec, const Snapshot &snapshot)
+{
+    if (spec.backendKind != BackendKind::Engine || spec.promptTokens <= MediumPromptTokens) {
+        return std::nullopt;
+    }
+    std::uint64_t total = 0;
+    const auto members = poolMembers(poolKey(spec), snapshot);
+    for (const auto index : members) {
+        total += snapshot.backends[index].server.kvTokens;
+    }
+    if (members.empty() || total >= spec.promptTokens + spec.maxTokens) {
+        return std::nullopt;
+    }
+    return notRun(ReasonCode::PromptTooLarge,
+                  "prompt and answer need " + std::to_string(spec.promptTokens + spec.maxTokens)
+                      + " tokens of memory; all suitable engines have " + std::to_string(total));
+}
+
 RequestSpec makeSpec(const CallerRequest &request,
                      const Organisation &organisation,
                      const Intent &intent,
@@ -130,6 +136,18 @@
 
 } // namespace
 
+bool equalTokens(std::string_view left, std::string_view right)
+{
+    if (left.size() != right.size()) {
+        return false;
+    }
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < left.size(); ++i) {
+        difference |= static_cast<unsigned char>(left[i]) ^ static_cast<unsigned char>(right[i]);
+    }
+    return difference == 0;
+}
+
 std::string_view bearerToken(std::string_view authorization)
 {
     constexpr std::string_view Scheme = "Bearer ";
@@ -183,6 +201,9 @@
     spec.arrival = time.now;
     const auto budget = request.deadlineMs.value_or(declarations.limits.defaultDeadlineMs);
     spec.deadline = time.now + std::chrono::milliseconds(budget);
+    if (const auto tooLarge = checkSize(spec, snapshot)) {
+        return *tooLarge;
+    }
     return spec;
 }
 
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace pomeloport::detail {
 
@@ -48,6 +49,7 @@
 
 HttpConnection::~HttpConnection()
 {
+    setBusy(false);
     --m_state->connections;
 }
 
@@ -61,8 +63,16 @@
     return m_exchange;
 }
 
+void HttpConnection::setBusy(bool busy)
+{
+    if (std::exchange(m_busy, busy) != busy) {
+        busy ? ++m_state->busy : --m_state->busy;
+    }
+}
+
 void HttpConnection::start()
 {
+    setBusy(false);
     m_phase = Phase::Reading;
     m_parser = nullptr;
     if (m_buffer.size() > 0) {
@@ -179,6 +189,7 @@
     m_phase = Phase::Handling;
     m_ended = false;
     ++m_exchange;
+    setBusy(true);
     watchPeer();
     m_state->handler(std::make_shared<HttpExchange>(shared_from_this(), std::move(request)));
 }
@@ -342,6 +353,7 @@
 void HttpConnection::close()
 {
     m_phase = Phase::Closed;
+    setBusy(false);
     m_timer.cancel();
     Error ignored;
     m_socket.close(ignored);
--- a/src/libpomeloport/transport/httpconnection.h
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -23,6 +23,8 @@
     HttpLimits limits;
     HttpHandler handler;
     std::atomic<std::size_t> connections{0};
+    /// Connections with a request that is not answered to the last byte.
+    std::atomic<std::size_t> busy{0};
     std::atomic<bool> keepAlive{true};
 };
 
@@ -81,6 +83,7 @@
     void sendWhole(std::shared_ptr<WholeResponse> response);
     void linger();
     void discard();
+    void setBusy(bool busy);
     void watchPeer();
     void peerReadable(Error error);
     void peerGone();
@@ -113,6 +116,7 @@
     std::uint64_t m_exchange = 0;
     Phase m_phase = Phase::Reading;
     bool m_keepAlive = true;
+    bool m_busy = false;
     bool m_writeActive = false;
     bool m_ended = false;
     bool m_watching = false;
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -239,6 +239,11 @@
     return m_acceptor->state().connections;
 }
 
+std::size_t HttpServer::busyConnections() const
+{
+    return m_acceptor->state().busy;
+}
+
 void HttpServer::closeAfterReply()
 {
     m_acceptor->state().keepAlive = false;
--- a/src/libpomeloport/state/requestmetrics.cpp
+++ b/src/libpomelorouter/requestmetrics.cpp
@@ -1,4 +1,4 @@
-#include "pomeloport/state/requestmetrics.h"
+#include "pomelorouter/requestmetrics.h"
 
 #include <boost/histogram.hpp>
 
@@ -11,7 +11,9 @@
 #include <utility>
 #include <vector>
 
-namespace pomeloport {
+namespace pomelorouter {
+
+using namespace pomeloport;
 
 namespace {
 
@@ -229,4 +231,4 @@
     return out;
 }
 
-} // namespace pomeloport
+} // namespace pomelorouter
--- a/src/libpomeloport/state/requestmetrics_test.cpp
+++ b/src/libpomelorouter/requestmetrics_test.cpp
@@ -1,5 +1,6 @@
-#include "pomeloport/state/requestmetrics.h"
-#include "pomeloport/state/tracering.h"
+#include "tracering.h"
+
+#include "pomelorouter/requestmetrics.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,6 +8,7 @@
 #include <thread>
 
 using namespace pomeloport;
+using namespace pomelorouter;
 using Catch::Contains;
 
 TEST_CASE("request metrics count from several threads in cumulative buckets")
--- a/src/libpomeloport/state/tracering.cpp
+++ b/src/libpomelorouter/tracering.cpp
@@ -1,6 +1,8 @@
-#include "pomeloport/state/tracering.h"
+#include "tracering.h"
 
-namespace pomeloport {
+namespace pomelorouter {
+
+using namespace pomeloport;
 
 void RequestTrace::add(Duration at, std::string text)
 {
@@ -41,4 +43,4 @@
     return found == m_traces.end() ? nullptr : found->second;
 }
 
-} // namespace pomeloport
+} // namespace pomelorouter
--- a/src/include/pomeloport/state/tracering.h
+++ b/src/libpomelorouter/tracering.h
@@ -11,13 +11,13 @@
 #include <vector>
 
 /// What happened to recent requests, for operators who ask why a request went where it went.
-namespace pomeloport {
+namespace pomelorouter {
 
 /// One step of a request.
 struct TraceStep
 {
     /// Time since the request arrived.
-    Duration at{};
+    pomeloport::Duration at{};
     /// The step in words, without prompt text.
     std::string text;
 };
@@ -30,7 +30,7 @@
     static constexpr std::size_t MaximumSteps = 64;
 
     /// Adds a step.
-    void add(Duration at, std::string text);
+    void add(pomeloport::Duration at, std::string text);
 
     /// The steps so far, in order.
     std::vector<TraceStep> steps() const;
@@ -59,4 +59,4 @@
     std::unordered_map<std::string, std::shared_ptr<RequestTrace>> m_traces;
 };
 
-} // namespace pomeloport
+} // namespace pomelorouter
