Tell routers how much engine memory is set aside for groups

The group coordinator collects memory for the oldest waiting prompt; routers that do not know it would fill that memory with other work. Zero, the default, means that nothing is set aside.

--- a/src/include/pomeloport/state/snapshot.h
+++ b/src/include/pomeloport/state/snapshot.h
@@ -81,11 +81,13 @@
     std::unordered_set<std::uint64_t> cachedBlocks;
     /// Whether the role assigned to this engine keeps long work away.
     bool shortOnly = false;
+    /// KV memory that the group coordinator has set aside on this engine, in tokens, whether in use already or not.
+    std::uint64_t groupTokens = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(server, state, report, reportAgeMs, cachedBlocks, shortOnly);
+        archive(server, state, report, reportAgeMs, cachedBlocks, shortOnly, groupTokens);
     }
 };
 
