--- a/src/libpomeloport/coordination/configspread.cpp
+++ b/src/libpomeloport/coordination/configspread.cpp
@@ -294,7 +294,9 @@
 
     void heard(const std::string &instance, std::uint64_t peerVersion)
     {
-        heardVersions[instance] = std::max(heardVersions[instance], peerVersion);
+        if (!confirmed && peerVersion != 0) {
+            heardVersions[instance] = std::max(heardVersions[instance], peerVersion);
+        }
         highestHeard = std::max(highestHeard, peerVersion);
     }
 
--- a/src/libpomeloport/coordination/membership.cpp
+++ b/src/libpomeloport/coordination/membership.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <bit>
 #include <deque>
+#include <map>
 #include <random>
 #include <set>
 
@@ -39,6 +40,8 @@
 constexpr std::size_t LaggingPerRegion = 3;
 /// Least time between two synchronisations that this instance starts.
 constexpr Duration SyncInterval = std::chrono::seconds(1);
+/// Time between two heartbeats to a suspect.
+constexpr Duration VerifyInterval = std::chrono::milliseconds(400);
 /// A gap between two ticks that means that this process was paused and knows nothing of its peers.
 constexpr Duration PauseThreshold = std::chrono::seconds(1);
 
@@ -120,6 +123,7 @@
         if (list.expire(now)) {
             changed();
         }
+        verifySuspects(now);
         if (now >= nextProbe) {
             nextProbe = now + jittered(settings.probeInterval);
             probeNext(now);
@@ -156,6 +160,23 @@
         probes = std::move(open);
     }
 
+    /// Sends heartbeats to suspects, so that they hear of the suspicion and can refute it to each peer directly.
+    void verifySuspects(Instant now)
+    {
+        for (const auto &name : list.peers()) {
+            const auto *record = list.find(name);
+            if (record->state != InstanceState::Suspect) {
+                verifyAt.erase(name);
+                continue;
+            }
+            const auto [entry, fresh] = verifyAt.try_emplace(name, now + jittered(settings.ackTimeout));
+            if (!fresh && now >= entry->second) {
+                entry->second = now + jittered(VerifyInterval);
+                send(record->datagramAddress, Ping{++lastNumber, {}, gossipFor(name)});
+            }
+        }
+    }
+
     void askHelpers(std::uint64_t number, const MemberRecord &target)
     {
         auto candidates = list.peers();
@@ -470,6 +491,7 @@
     Instant nextSync{};
     std::uint64_t lastNumber = 0;
     std::vector<Probe> probes;
+    std::map<std::string, Instant> verifyAt;
     std::deque<std::string> order;
     std::vector<std::string> addresses;
     membership::SelfChanged self;
