Add pomelo-controller

Cause: routers need the view of configuration, instances and backend servers, and somebody has to keep it. Conclusion: instances can be run as two processes.

--- /dev/null
+++ b/src/include/pomeloport/coordination/backendtable.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "pomeloport/clock.h"
+#include "pomeloport/protocol/controlmessages.h"
+#include "pomeloport/protocol/enginemessages.h"
+#include "pomeloport/state/snapshot.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// What one controller knows of the backend servers of its region: declarations, whose home it is, reports read by
+/// itself or heard from the homes, and who is leaving.
+namespace pomeloport {
+
+/// The backend servers as one instance sees them. Pure; one thread at a time.
+class BackendTable
+{
+public:
+    explicit BackendTable(OwnerId self);
+
+    /// Replaces the declarations. Reports of servers that stay are kept.
+    void setDeclarations(const Declarations &declarations);
+
+    /// Replaces the instances, which decides whose home this instance is.
+    void setInstances(const std::vector<InstanceView> &instances);
+
+    /// Replaces the names, as by listedName(), of servers that the platform lists as leaving.
+    void setListedLeaving(std::set<std::uint32_t> names);
+
+    /// The short form of a server's name in control::InstanceReport::listedLeaving.
+    static std::uint32_t listedName(std::string_view name);
+
+    /// Takes a report that this instance read. Reports of an earlier process of the server are dropped.
+    void reported(const LoadReport &report, Instant now);
+
+    /// Counts a failed reading; a server that fails several times in a row counts as gone until it answers.
+    void unreachable(const std::string &backend);
+
+    /// Takes what the home of other servers reports.
+    void heard(const control::InstanceReport &report, Instant madeAt);
+
+    /// Servers whose home this instance is.
+    std::vector<BackendServer> homeServers() const;
+
+    /// All declared servers of the region with their state and last report.
+    std::vector<BackendView> views(Instant now) const;
+
+    /// The part of the own report that tells peers of the servers whose home this instance is.
+    std::vector<control::EngineLoad> ownLoads(Instant now) const;
+
+    /// Whether a state changed since the last call; news of this kind is passed on at once.
+    bool takeStateChange();
+
+private:
+    struct Entry
+    {
+        BackendServer server;
+        bool home = false;
+        BackendState state = BackendState::Live;
+        std::uint32_t failures = 0;
+        LoadReport report;
+        Instant reportedAt{};
+        /// When the home made the last report that was heard.
+        Instant heardAt{};
+    };
+
+    void updateState(Entry &entry);
+    control::EngineLoad compact(const Entry &entry, Instant now) const;
+    void expand(Entry &entry, const control::EngineLoad &load) const;
+
+    OwnerId m_self;
+    std::map<std::string, Entry> m_entries;
+    std::map<std::uint32_t, std::string> m_byHash;
+    /// Sorted names of everything that the declarations ask engines to load.
+    std::vector<std::string> m_catalogue;
+    std::vector<InstanceView> m_instances;
+    std::set<std::uint32_t> m_listedLeaving;
+    bool m_stateChanged = false;
+};
+
+} // namespace pomeloport
--- a/src/include/pomeloport/coordination/controlplane.h
+++ b/src/include/pomeloport/coordination/controlplane.h
@@ -42,15 +42,16 @@
     ControlMessage message;
 };
 
-/// The own load and that of the engines whose home this instance is.
+/// The own load and configuration version in force, and the load of the engines whose home this instance is.
 struct OwnReport
 {
     control::InstanceReport report;
 };
 
-/// This instance is about to stop.
+/// Whether this instance wants no new callers: it does not admit, drains, or its router does not run.
 struct Leaving
 {
+    bool leaving = true;
 };
 
 } // namespace controlevent
--- a/src/include/pomeloport/protocol/controlmessages.h
+++ b/src/include/pomeloport/protocol/controlmessages.h
@@ -268,11 +268,13 @@
     /// Open requests over the limit, in units of 1/255.
     std::uint8_t load = 0;
     std::vector<EngineLoad> engines;
+    /// Backend servers that the platform lists as leaving, if this instance reads the list; names as in EngineLoad.
+    std::vector<std::uint32_t> listedLeaving;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, sequence, configVersion, load, engines);
+        archive(id, sequence, configVersion, load, engines, listedLeaving);
     }
 };
 
--- a/src/libpomelofake/controlnetwork.cpp
+++ b/src/libpomelofake/controlnetwork.cpp
@@ -271,6 +271,7 @@
     constexpr std::uint32_t SampleStep = 330;
     control::InstanceReport report;
     report.load = 100;
+    report.configVersion = m_nodes[index].plane->config().version();
     for (std::size_t i = 0; i < m_settings.enginesPerInstance; ++i) {
         control::EngineLoad engine;
         engine.engine = static_cast<std::uint32_t>((index * m_settings.enginesPerInstance + i) * 2'654'435'761U);
--- a/src/libpomeloport/coordination/controlplane.cpp
+++ b/src/libpomeloport/coordination/controlplane.cpp
@@ -72,14 +72,12 @@
 
 void ControlPlane::on(const controlevent::OwnReport &event, Instant now)
 {
-    auto report = event.report;
-    report.configVersion = m_config.version();
-    m_load.setOwn(std::move(report), now);
+    m_load.setOwn(event.report, now);
 }
 
-void ControlPlane::on(const controlevent::Leaving & /*event*/, Instant now)
+void ControlPlane::on(const controlevent::Leaving &event, Instant now)
 {
-    m_leaving = true;
+    m_leaving = event.leaving;
     tellSelf(now);
 }
 
@@ -181,9 +179,6 @@
             view.load = held->second.report.load / LoadUnits;
             view.configVersion = held->second.report.configVersion;
         }
-        if (record.id == m_membership.self().id) {
-            view.configVersion = m_config.version();
-        }
         result.push_back(std::move(view));
     }
     return result;
--- /dev/null
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -0,0 +1,143 @@
+#include "backendpoller.h"
+
+#include <algorithm>
+
+namespace pomelocontroller {
+
+using namespace pomeloport;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+/// Servers of other homes are read this many times less often.
+constexpr int OtherIntervals = 4;
+
+} // namespace
+
+BackendPoller::BackendPoller(std::shared_ptr<HttpClient> client,
+                             std::chrono::milliseconds interval,
+                             std::chrono::milliseconds timeout,
+                             Handlers handlers)
+    : m_client(std::move(client))
+    , m_interval(interval)
+    , m_timeout(timeout)
+    , m_handlers(std::move(handlers))
+{
+}
+
+void BackendPoller::setServers(const std::vector<BackendServer> &home, const std::vector<BackendServer> &others)
+{
+    auto before = std::exchange(m_servers, {});
+    const auto take = [&](const BackendServer &server, bool isHome) {
+        const auto known = before.find(server.name);
+        auto &entry = m_servers[server.name];
+        if (known != before.end() && known->second.server.address == server.address) {
+            entry = std::move(known->second);
+        }
+        entry.server = server;
+        entry.home = isHome;
+    };
+    for (const auto &server : home) {
+        take(server, true);
+    }
+    for (const auto &server : others) {
+        if (server.kind == BackendKind::Engine) {
+            take(server, false);
+        }
+    }
+}
+
+void BackendPoller::tick(std::chrono::steady_clock::time_point now)
+{
+    for (auto &[name, server] : m_servers) {
+        if (server.polling || now < server.nextPoll) {
+            continue;
+        }
+        server.polling = true;
+        server.nextPoll = now + (server.home ? m_interval : m_interval * OtherIntervals);
+        if (server.home) {
+            pollLoad(server);
+        } else {
+            pollEvents(server);
+        }
+    }
+}
+
+void BackendPoller::pollLoad(Server &server)
+{
+    HttpCall call{server.server.address, "GET", "/v1/load", {}, {}, m_timeout};
+    m_client->send(std::move(call), [weak = weak_from_this(), name = server.server.name](auto reply, bool) {
+        if (const auto self = weak.lock()) {
+            self->loadAnswered(name, reply);
+        }
+    });
+}
+
+void BackendPoller::loadAnswered(const std::string &name, const std::optional<HttpReply> &reply)
+{
+    const auto found = m_servers.find(name);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto report = reply && reply->status == StatusOk ? decodeLoadReport(reply->body) : std::nullopt;
+    if (!report || report->engine != name) {
+        found->second.polling = false;
+        m_handlers.unreachable(name);
+        return;
+    }
+    m_handlers.reported(*report);
+    if (found->second.server.kind == BackendKind::Engine) {
+        pollEvents(found->second);
+    } else {
+        found->second.polling = false;
+    }
+}
+
+void BackendPoller::pollEvents(Server &server)
+{
+    const auto target = "/v1/events?since=" + std::to_string(server.lastEvent);
+    HttpCall call{server.server.address, "GET", target, {}, {}, m_timeout};
+    m_client->send(std::move(call), [weak = weak_from_this(), name = server.server.name](auto reply, bool) {
+        if (const auto self = weak.lock()) {
+            self->eventsAnswered(name, reply);
+        }
+    });
+}
+
+void BackendPoller::eventsAnswered(const std::string &name, const std::optional<HttpReply> &reply)
+{
+    const auto found = m_servers.find(name);
+    if (found == m_servers.end()) {
+        return;
+    }
+    auto &server = found->second;
+    server.polling = false;
+    const auto events = reply && reply->status == StatusOk ? decodeCacheEvents(reply->body) : std::nullopt;
+    if (!events) {
+        return;
+    }
+    link::CacheUpdate update;
+    update.backend = name;
+    update.reset = events->epoch != server.epoch;
+    if (update.reset && server.lastEvent != 0) {
+        // The sequence numbers belong to an earlier process; read the new ones from the start.
+        server.epoch = events->epoch;
+        server.lastEvent = 0;
+        m_handlers.cacheChanged(update);
+        return;
+    }
+    server.epoch = events->epoch;
+    server.lastEvent = std::max(server.lastEvent, events->lastSequence);
+    std::map<std::uint64_t, bool> last;
+    for (const auto &event : events->events) {
+        last[event.block] = event.stored;
+    }
+    for (const auto &[block, stored] : last) {
+        (stored ? update.added : update.removed).push_back(block);
+    }
+    if (update.reset || !update.added.empty() || !update.removed.empty()) {
+        m_handlers.cacheChanged(update);
+    }
+}
+
+} // namespace pomelocontroller
--- /dev/null
+++ b/src/pomelocontroller/engineowner.cpp
@@ -0,0 +1,213 @@
+#include "engineowner.h"
+
+#include "steadynow.h"
+
+#include "pomeloport/logging.h"
+#include "pomeloport/protocol/enginemessages.h"
+
+#include <set>
+
+namespace pomelocontroller {
+
+using namespace pomeloport;
+
+namespace {
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusUnavailable = 503;
+
+OrderResult resultOf(const std::optional<HttpReply> &reply, bool sent)
+{
+    if (!reply) {
+        return sent ? OrderResult::Lost : OrderResult::Refused;
+    }
+    if (reply->status == StatusOk) {
+        return OrderResult::Accepted;
+    }
+    if (reply->status == StatusTooManyRequests || reply->status == StatusUnavailable) {
+        const auto refusal = decodeRefusal(reply->body);
+        return refusal && refusal->code == RefusalCode::Fenced ? OrderResult::Fenced : OrderResult::Refused;
+    }
+    return OrderResult::Refused;
+}
+
+} // namespace
+
+EngineOwner::EngineOwner(OwnerId self,
+                         std::string region,
+                         Limits limits,
+                         std::shared_ptr<HttpClient> client,
+                         std::shared_ptr<PlatformClient> platform,
+                         AskOwner askOwner)
+    : m_self(self)
+    , m_limits(limits)
+    , m_client(std::move(client))
+    , m_platform(std::move(platform))
+    , m_askOwner(std::move(askOwner))
+    , m_leases(std::move(self), std::move(region), limits.lease)
+    , m_orders(limits.order)
+    , m_sweep(limits.sweep)
+{
+}
+
+void EngineOwner::setServers(const std::vector<BackendServer> &servers,
+                             std::size_t fleetEngines,
+                             double loadsPerMinute,
+                             Instant now)
+{
+    std::set<std::string> wanted;
+    std::vector<EngineTarget> targets;
+    auto before = std::exchange(m_servers, {});
+    for (const auto &server : servers) {
+        m_servers[server.name] = server;
+        m_sweeps.try_emplace(server.name, Sweep{now + m_limits.sweepInterval, false});
+        before.erase(server.name);
+        if (server.kind == BackendKind::Engine) {
+            wanted.insert(server.name);
+            targets.push_back({server.name, server.load, "general", server.checksFencing});
+        }
+    }
+    for (const auto &[name, server] : before) {
+        m_sweep.forget(name);
+        m_sweeps.erase(name);
+    }
+    m_leases.setWanted(std::move(wanted));
+    m_orders.setTargets(std::move(targets), fleetEngines, loadsPerMinute, now);
+}
+
+void EngineOwner::reported(const LoadReport &report, Instant now)
+{
+    m_orders.reported(report, now);
+}
+
+void EngineOwner::tick(Instant now)
+{
+    advanceLeases(now);
+    advanceOrders(now);
+    advanceSweeps(now);
+}
+
+void EngineOwner::stop()
+{
+    m_leases.stop();
+}
+
+bool EngineOwner::released() const
+{
+    return m_leases.released();
+}
+
+void EngineOwner::advanceLeases(Instant now)
+{
+    if (m_leaseCall) {
+        return;
+    }
+    const auto call = m_leases.advance(now);
+    if (!call) {
+        return;
+    }
+    m_leaseCall = true;
+    m_platform->call(*call, [weak = weak_from_this()](const StoreReply &reply) {
+        if (const auto self = weak.lock()) {
+            self->m_leaseCall = false;
+            self->m_leases.answered(reply, steadyNow());
+            self->advanceLeases(steadyNow());
+        }
+    });
+}
+
+void EngineOwner::advanceOrders(Instant now)
+{
+    const auto permit = [this](const EngineTarget &target, Instant at) {
+        return m_leases.mayOrder(target.engine, target.checksFencing, at);
+    };
+    for (const auto &order : m_orders.advance(permit, now)) {
+        sendOrder(order);
+    }
+}
+
+void EngineOwner::sendOrder(const OrderToSend &order)
+{
+    const auto server = m_servers.find(order.engine);
+    if (server == m_servers.end()) {
+        return;
+    }
+    logEvent(LogLevel::Info,
+             "order_sent",
+             {{"engine", order.engine}, {"fencing", order.order.fencingNumber}, {"items", order.order.load.size()}});
+    HttpCall call{server->second.address, "POST", "/v1/orders", encode(order.order), {}, m_limits.callTimeout};
+    m_client->send(std::move(call), [weak = weak_from_this(), engine = order.engine](auto reply, bool sent) {
+        if (const auto self = weak.lock()) {
+            self->m_orders.answered(engine, resultOf(reply, sent), steadyNow());
+        }
+    });
+}
+
+void EngineOwner::advanceSweeps(Instant now)
+{
+    for (auto &[name, sweep] : m_sweeps) {
+        if (!sweep.reading && now >= sweep.nextAt) {
+            sweep.reading = true;
+            readHoldings(m_servers.at(name));
+        }
+    }
+}
+
+void EngineOwner::readHoldings(const BackendServer &server)
+{
+    HttpCall call{server.address, "GET", "/v1/holdings", {}, {}, m_limits.callTimeout};
+    m_client->send(std::move(call), [weak = weak_from_this(), name = server.name](auto reply, bool) {
+        const auto self = weak.lock();
+        const auto known = self ? self->m_sweeps.find(name) : std::map<std::string, Sweep>::iterator{};
+        if (!self || known == self->m_sweeps.end()) {
+            return;
+        }
+        known->second = {steadyNow() + self->m_limits.sweepInterval, false};
+        auto holdings = reply && reply->status == StatusOk ? decodeEngineHoldings(reply->body) : std::nullopt;
+        if (holdings && holdings->engine == name) {
+            self->sweep(sweepevent::HoldingsRead{std::move(*holdings)});
+        }
+    });
+}
+
+void EngineOwner::sweep(const SweepEvent &event)
+{
+    for (const auto &action : m_sweep.handle(event, steadyNow())) {
+        carryOut(action);
+    }
+}
+
+void EngineOwner::carryOut(const SweepAction &action)
+{
+    if (const auto *ask = std::get_if<sweepaction::AskOwner>(&action)) {
+        m_askOwner(ask->query, [weak = weak_from_this(), query = ask->query.query](const auto &reply) {
+            if (const auto self = weak.lock()) {
+                auto numbered = reply;
+                numbered.query = query;
+                self->sweep(sweepevent::OwnerAnswered{std::move(numbered)});
+            }
+        });
+    } else if (const auto *cancel = std::get_if<sweepaction::CancelStream>(&action)) {
+        const auto address = toString(cancel->stream);
+        logEvent(LogLevel::Info, "orphan_cancelled", {{"engine", cancel->engine}, {"stream", address}});
+        callServer(cancel->engine, "POST", "/v1/cancel", R"({"stream":")" + address + "\"}");
+    } else if (const auto *blob = std::get_if<sweepaction::FreeBlob>(&action)) {
+        logEvent(LogLevel::Info, "orphan_freed", {{"engine", blob->engine}, {"blob", blob->blob}});
+        callServer(blob->engine, "DELETE", "/v1/kv/" + blob->blob, {});
+    }
+}
+
+void EngineOwner::callServer(const std::string &name,
+                             const char *method,
+                             const std::string &target,
+                             const std::string &body)
+{
+    const auto server = m_servers.find(name);
+    if (server != m_servers.end()) {
+        HttpCall call{server->second.address, method, target, body, {}, m_limits.callTimeout};
+        m_client->send(std::move(call), [](const auto &, bool) {});
+    }
+}
+
+} // namespace pomelocontroller
--- /dev/null
+++ b/src/pomelocontroller/groupdesk.cpp
@@ -0,0 +1,91 @@
+#include "groupdesk.h"
+
+namespace pomelocontroller {
+
+using namespace pomeloport;
+
+namespace {
+
+/// Bits of a reservation number below the coordinator's incarnation.
+constexpr unsigned ReservationBits = 20;
+
+} // namespace
+
+GroupDesk::GroupDesk(std::uint64_t incarnation)
+    : m_coordinator({}, (incarnation << ReservationBits) + 1)
+{
+}
+
+void GroupDesk::reserve(const link::GroupReserve &request, Instant now, Responder responder)
+{
+    GroupNeed need;
+    need.stream = request.stream;
+    need.pool.kind = BackendKind::Engine;
+    need.pool.model = request.model;
+    need.pool.adapter = request.adapter;
+    need.pool.version = request.version;
+    need.pool.engines = request.engines.matchLabels;
+    need.promptTokens = request.promptTokens;
+    need.tokens = request.tokens;
+    need.deadline = now + std::chrono::milliseconds(request.deadlineMs);
+    m_waiting[request.stream] = {request.query, std::move(responder)};
+    handle(groupevent::Reserve{std::move(need)}, now);
+}
+
+void GroupDesk::release(const link::GroupRelease &release, Instant now)
+{
+    m_waiting.erase(release.stream);
+    handle(groupevent::Release{release.stream}, now);
+}
+
+void GroupDesk::ownerGone(const OwnerId &owner, Instant now)
+{
+    handle(groupevent::OwnerGone{owner}, now);
+}
+
+void GroupDesk::enginesChanged(std::shared_ptr<const Snapshot> snapshot, Instant now)
+{
+    handle(groupevent::EnginesChanged{std::move(snapshot)}, now);
+}
+
+void GroupDesk::tick(Instant now)
+{
+    handle(groupevent::Tick{}, now);
+}
+
+void GroupDesk::handle(const GroupEvent &event, Instant now)
+{
+    for (const auto &action : m_coordinator.handle(event, now)) {
+        if (const auto *grant = std::get_if<groupaction::Grant>(&action)) {
+            link::GroupGranted granted;
+            granted.reservation = grant->route.reservation;
+            for (const auto &member : grant->route.members) {
+                granted.members.push_back({member.backend, member.segmentBegin, member.segmentEnd});
+            }
+            answer(grant->stream, std::move(granted));
+        } else if (const auto *refuse = std::get_if<groupaction::Refuse>(&action)) {
+            const auto &failure = refuse->failure;
+            link::GroupRefused refused{0, failure.verdict, failure.reason, failure.detail, 0};
+            if (failure.retryAfter) {
+                refused.retryAfterMs = static_cast<std::uint64_t>(failure.retryAfter->count());
+            }
+            answer(refuse->stream, std::move(refused));
+        }
+    }
+}
+
+void GroupDesk::answer(const StreamAddress &stream, LinkMessage message)
+{
+    auto waiting = m_waiting.extract(stream);
+    if (!waiting) {
+        return;
+    }
+    if (auto *granted = std::get_if<link::GroupGranted>(&message)) {
+        granted->query = waiting.mapped().query;
+    } else if (auto *refused = std::get_if<link::GroupRefused>(&message)) {
+        refused->query = waiting.mapped().query;
+    }
+    waiting.mapped().responder(message);
+}
+
+} // namespace pomelocontroller
