Apply declarations by conditional update with a change token

Cause: an accepted change must neither be lost nor doubled when the store's answer is lost, and of two conflicting edits the loser must learn of it.

--- a/src/pomeloctl/commands.h
+++ b/src/pomeloctl/commands.h
@@ -13,6 +13,9 @@
 /// Prints the fields that differ between two files, or between what the store holds and a file.
 ExitCode diff(const Options &options);
 
+/// Writes a file of declarations to the store by conditional update and optionally waits until it is in force.
+ExitCode apply(const Options &options);
+
 /// Prints instances and backend servers as a router sees them.
 ExitCode status(const Options &options);
 
--- a/src/pomeloctl/diffcommand.cpp
+++ b/src/pomeloctl/diffcommand.cpp
@@ -2,6 +2,9 @@
 
 #include "declarationsfile.h"
 #include "output.h"
+#include "storeclient.h"
+
+#include "pomeloport/lastreason.h"
 
 #include <boost/json.hpp>
 
@@ -9,16 +12,35 @@
 
 namespace pomeloctl {
 
-ExitCode diff(const Options &options)
+namespace {
+
+ExitCode printDifference(const std::optional<DeclarationsFile> &before,
+                         const std::optional<DeclarationsFile> &after,
+                         OutputFormat format)
 {
-    const auto before = loadDeclarations(options.arguments[0]);
-    const auto after = loadDeclarations(options.arguments[1]);
     if (!before || !after) {
         return UsageError;
     }
     const auto changes = pomeloport::difference(before->declarations, after->declarations);
-    print(std::cout, {{"changed_fields", changes.size()}, {"changes", toJson(changes)}}, options.output);
+    print(std::cout, {{"changed_fields", changes.size()}, {"changes", toJson(changes)}}, format);
     return Success;
 }
 
+} // namespace
+
+ExitCode diff(const Options &options)
+{
+    if (options.arguments.size() == 2) {
+        return printDifference(
+            loadDeclarations(options.arguments[0]), loadDeclarations(options.arguments[1]), options.output);
+    }
+    auto stored = StoreClient(options.connection).declarations();
+    if (!stored) {
+        std::cerr << "pomeloctl diff: " << pomeloport::lastReason() << '\n';
+        return Failed;
+    }
+    return printDifference(
+        checkDeclarations(std::move(*stored), "store"), loadDeclarations(options.arguments[0]), options.output);
+}
+
 } // namespace pomeloctl
