Keep the own load report under its own name

Cause: the report was moved from before its name was read, so no report was ever spread. Change: look the entry up first; a case checks that all reports reach all instances.

--- a/src/libpomelofake/controlnetwork_test.cpp
+++ b/src/libpomelofake/controlnetwork_test.cpp
@@ -179,3 +179,24 @@
     CHECK(network.runUntil(known, 60s));
     CHECK(network.nodes()[0].plane->instances().size() == 9);
 }
+
+TEST_CASE("load reports of all instances reach all instances, also when datagrams are lost")
+{
+    ControlNetwork network(small(0.1, 5));
+    const auto version = bringUp(network);
+    const auto informed = [&] {
+        return std::ranges::all_of(network.nodes(), [&](const auto &node) {
+            const auto views = node.plane->instances();
+            return views.size() == 9 && std::ranges::all_of(views, [&](const auto &view) {
+                       return view.configVersion == version && view.load > 0;
+                   });
+        });
+    };
+    REQUIRE(network.runUntil(informed, 10s));
+    network.run(10s);
+    for (const auto &node : network.nodes()) {
+        for (const auto &[name, held] : node.plane->load().reports()) {
+            CHECK(network.now() - held.madeAt < 3s);
+        }
+    }
+}
--- a/src/libpomeloport/coordination/loadspread.cpp
+++ b/src/libpomeloport/coordination/loadspread.cpp
@@ -48,7 +48,8 @@
 {
     report.id = m_settings.self;
     report.sequence = ++m_sequence;
-    m_reports[report.id.instance] = {std::move(report), now};
+    auto &held = m_reports[m_settings.self.instance];
+    held = {std::move(report), now};
 }
 
 void LoadSpread::receive(const LoadShare &share, Instant now)
