--- a/src/pomelocontroller/backendpoller.cpp
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -35,6 +35,9 @@
             entry = std::move(known->second);
         }
         entry.server = server;
+        if (isHome && !entry.home) {
+            entry.nextPoll = {};
+        }
         entry.home = isHome;
     };
     for (const auto &server : home) {
