Lower the router's cost per token and per stream

Change: engine streams use the connection's own strand type and tell when a batch is over, so that a batch is sent without another trip through the event loop; in-order chunks skip the reorder map; routing learns from the first 32 chunks of an attempt; events skip the queue; the read buffer is 2 KiB.

--- a/src/include/pomeloport/transport/enginestream.h
+++ b/src/include/pomeloport/transport/enginestream.h
@@ -3,7 +3,8 @@
 #include "pomeloport/protocol/enginemessages.h"
 #include "pomeloport/transport/httpclient.h"
 
-#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <functional>
 #include <memory>
@@ -38,6 +39,11 @@
     StreamChunk chunk;
 };
 
+/// All chunks that were read from the network have been reported; a receiver that batches may flush.
+struct Drained
+{
+};
+
 /// The end marker arrived; nothing follows.
 struct End
 {
@@ -52,8 +58,12 @@
 
 } // namespace streamevent
 
-using EngineStreamEvent =
-    std::variant<streamevent::Sending, streamevent::Refused, streamevent::Chunk, streamevent::End, streamevent::Broken>;
+using EngineStreamEvent = std::variant<streamevent::Sending,
+                                       streamevent::Refused,
+                                       streamevent::Chunk,
+                                       streamevent::Drained,
+                                       streamevent::End,
+                                       streamevent::Broken>;
 
 /// Kinds of calls that EngineStream makes.
 enum class StreamCallKind {
@@ -85,7 +95,7 @@
 
     /// Starts a call over a pooled connection. Events come later, never from within the constructor.
     EngineStream(std::shared_ptr<detail::ConnectionPool> pool,
-                 boost::asio::any_io_executor executor,
+                 boost::asio::strand<boost::asio::io_context::executor_type> executor,
                  StreamCall call,
                  Listener listener);
     ~EngineStream();
--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -68,7 +68,7 @@
     std::string takeBody();
 
     /// The executor that serialises this connection's callbacks.
-    boost::asio::any_io_executor executor() const;
+    boost::asio::strand<boost::asio::io_context::executor_type> executor() const;
 
     /// Sends a whole reply.
     void reply(unsigned status,
--- a/src/libpomeloport/coordination/answerassembler.cpp
+++ b/src/libpomeloport/coordination/answerassembler.cpp
@@ -28,16 +28,26 @@
     if (index < m_next || index - m_next > ReorderWindow) {
         return;
     }
+    if (index == m_next && m_ahead.empty()) {
+        accept(std::move(text), deliver);
+        return;
+    }
     m_ahead.emplace(index, std::move(text));
     for (auto chunk = m_ahead.begin(); chunk != m_ahead.end() && chunk->first == m_next; chunk = m_ahead.begin()) {
-        XXH64_update(m_hash.get(), chunk->second.data(), chunk->second.size());
-        if (m_keepText) {
-            m_text += chunk->second;
-        }
-        deliver(m_next, std::move(chunk->second));
+        auto next = std::move(chunk->second);
         m_ahead.erase(chunk);
-        ++m_next;
+        accept(std::move(next), deliver);
+    }
+}
+
+void AnswerAssembler::accept(std::string text, const Deliver &deliver)
+{
+    XXH64_update(m_hash.get(), text.data(), text.size());
+    if (m_keepText) {
+        m_text += text;
     }
+    deliver(m_next, std::move(text));
+    ++m_next;
 }
 
 void AnswerAssembler::end(std::uint64_t count, std::uint64_t digest)
--- a/src/libpomeloport/coordination/answerassembler.h
+++ b/src/libpomeloport/coordination/answerassembler.h
@@ -50,6 +50,9 @@
     const std::string &text() const;
 
 private:
+    /// Delivers the chunk that is next in order.
+    void accept(std::string text, const Deliver &deliver);
+
     struct FreeState
     {
         void operator()(XXH64_state_s *state) const;
--- a/src/libpomeloport/transport/enginestream.cpp
+++ b/src/libpomeloport/transport/enginestream.cpp
@@ -15,6 +15,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace pomeloport {
@@ -25,11 +26,12 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using Strand = asio::strand<asio::io_context::executor_type>;
 
 constexpr std::chrono::milliseconds ConnectTimeout{1000};
 /// How long the rest of a whole answer may take before its connection is given up.
 constexpr std::chrono::milliseconds TailTimeout{1000};
-constexpr std::size_t ReadBufferBytes = 4096;
+constexpr std::size_t ReadBufferBytes = 2048;
 constexpr std::size_t MaximumWholeBytes = 16 * 1024 * 1024;
 constexpr unsigned StatusOk = 200;
 
@@ -47,7 +49,7 @@
 {
 public:
     EngineStreamSession(std::shared_ptr<ConnectionPool> pool,
-                        asio::any_io_executor executor,
+                        Strand executor,
                         StreamCall call,
                         EngineStream::Listener listener)
         : m_pool(std::move(pool))
@@ -220,6 +222,9 @@
             complete();
             return;
         }
+        if (std::exchange(m_chunksReported, false)) {
+            emit(streamevent::Drained{});
+        }
         read();
     }
 
@@ -272,6 +277,7 @@
             return false;
         }
         if (auto *chunk = std::get_if<StreamChunk>(&*parsed)) {
+            m_chunksReported = true;
             emit(streamevent::Chunk{std::move(*chunk)});
             return !m_closed;
         }
@@ -355,7 +361,7 @@
     }
 
     std::shared_ptr<ConnectionPool> m_pool;
-    asio::any_io_executor m_executor;
+    Strand m_executor;
     asio::steady_timer m_timer;
     StreamCallKind m_kind;
     std::string m_address;
@@ -367,6 +373,7 @@
     std::size_t m_filled = 0;
     LineSplitter m_lines;
     std::string m_body;
+    bool m_chunksReported = false;
     bool m_reused = false;
     bool m_sendingReported = false;
     bool m_reading = false;
@@ -379,7 +386,7 @@
 } // namespace detail
 
 EngineStream::EngineStream(std::shared_ptr<detail::ConnectionPool> pool,
-                           asio::any_io_executor executor,
+                           asio::strand<asio::io_context::executor_type> executor,
                            StreamCall call,
                            Listener listener)
     : m_session(std::make_shared<detail::EngineStreamSession>(std::move(pool),
--- a/src/libpomeloport/transport/enginestream_test.cpp
+++ b/src/libpomeloport/transport/enginestream_test.cpp
@@ -50,6 +50,9 @@
             events += std::to_string(chunk->chunk.index) + "=" + chunk->chunk.text + " ";
             return false;
         }
+        if (std::holds_alternative<streamevent::Drained>(event)) {
+            return false;
+        }
         if (std::holds_alternative<streamevent::Sending>(event)) {
             events += "sending ";
             return false;
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -4,6 +4,7 @@
 #include "httpconnection.h"
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 
 namespace pomeloport {
 
@@ -149,7 +150,7 @@
     return std::exchange(m_request.body, {});
 }
 
-asio::any_io_executor HttpExchange::executor() const
+asio::strand<asio::io_context::executor_type> HttpExchange::executor() const
 {
     return m_connection->strand();
 }
@@ -183,10 +184,14 @@
 
 void HttpExchange::write(std::string piece, std::function<void(bool)> written)
 {
-    asio::dispatch(m_connection->strand(),
-                   [connection = m_connection, piece = std::move(piece), written = std::move(written)]() mutable {
-                       connection->write(std::move(piece), std::move(written));
-                   });
+    if (m_connection->strand().running_in_this_thread()) {
+        m_connection->write(std::move(piece), std::move(written));
+        return;
+    }
+    asio::post(m_connection->strand(),
+               [connection = m_connection, piece = std::move(piece), written = std::move(written)]() mutable {
+                   connection->write(std::move(piece), std::move(written));
+               });
 }
 
 void HttpExchange::endStream()
--- a/src/libpomelorouter/requestsession.cpp
+++ b/src/libpomelorouter/requestsession.cpp
@@ -132,23 +132,35 @@
 /// Feeds one event and carries out the actions. Events that arise meanwhile are fed afterwards, in order.
 void RequestSession::feed(FlowEvent event)
 {
-    m_events.push_back(std::move(event));
     if (m_feeding) {
+        m_events.push_back(std::move(event));
         return;
     }
     const auto self = shared_from_this();
     m_feeding = true;
-    while (!m_events.empty() && !m_flowClosed) {
+    handle(event);
+    while (!m_events.empty()) {
         const auto next = std::move(m_events.front());
         m_events.pop_front();
-        for (auto &action : m_flow.handle(next, monotonicNow())) {
-            std::visit([this](auto &value) { execute(value); }, action);
-        }
+        handle(next);
     }
     m_feeding = false;
+    if (!m_batching && !m_finished) {
+        m_writer.flush();
+    }
     finishIfDone();
 }
 
+void RequestSession::handle(const FlowEvent &event)
+{
+    if (m_flowClosed) {
+        return;
+    }
+    for (auto &action : m_flow.handle(event, monotonicNow())) {
+        std::visit([this](auto &value) { execute(value); }, action);
+    }
+}
+
 RouteDecision RequestSession::choose(const RouteQuery &query, Instant now)
 {
     const bool explained = m_core->snapshot.current()->backends.size() <= ExplainedBackends;
@@ -172,20 +184,6 @@
     return address;
 }
 
-/// Several chunks that arrive together are sent together.
-void RequestSession::scheduleFlush()
-{
-    if (std::exchange(m_flushScheduled, true)) {
-        return;
-    }
-    boost::asio::post(m_executor, [self = shared_from_this()] {
-        self->m_flushScheduled = false;
-        if (!self->m_finished) {
-            self->m_writer.flush();
-        }
-    });
-}
-
 void RequestSession::pieceWritten(bool ok)
 {
     m_writer.pieceWritten(ok);
--- a/src/libpomelorouter/requestsession.h
+++ b/src/libpomelorouter/requestsession.h
@@ -7,8 +7,9 @@
 #include "pomeloport/protocol/linkmessages.h"
 #include "pomeloport/transport/enginestream.h"
 
-#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -63,11 +64,12 @@
         std::size_t member = 0;
         std::string backend;
         bool exporting = false;
-        bool firstChunkSeen = false;
+        std::uint64_t chunks = 0;
         std::unique_ptr<pomeloport::EngineStream> stream;
     };
 
     void feed(pomeloport::FlowEvent event);
+    void handle(const pomeloport::FlowEvent &event);
     void post(pomeloport::FlowEvent event);
     pomeloport::RouteDecision choose(const pomeloport::RouteQuery &query, pomeloport::Instant now);
 
@@ -92,11 +94,11 @@
     void take(OpenStream &open, pomeloport::streamevent::Sending &event);
     void take(OpenStream &open, pomeloport::streamevent::Refused &event);
     void take(OpenStream &open, pomeloport::streamevent::Chunk &event);
+    void take(OpenStream &open, pomeloport::streamevent::Drained &event);
     void take(OpenStream &open, pomeloport::streamevent::End &event);
     void take(OpenStream &open, pomeloport::streamevent::Broken &event);
     void cancelAnswered(std::uint32_t attempt, const std::optional<pomeloport::HttpReply> &reply);
 
-    void scheduleFlush();
     void pieceWritten(bool ok);
     void setPaused(bool paused);
     void waitForTimer();
@@ -109,7 +111,7 @@
 
     std::shared_ptr<RouterCore> m_core;
     std::shared_ptr<pomeloport::HttpExchange> m_exchange;
-    boost::asio::any_io_executor m_executor;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_executor;
     boost::asio::steady_timer m_timer;
     pomeloport::StreamAddress m_address;
     std::string m_id;
@@ -128,7 +130,8 @@
     pomeloport::Instant m_timerAt = pomeloport::Instant::max();
     pomeloport::Instant m_timerLooks = pomeloport::Instant::max();
     bool m_feeding = false;
-    bool m_flushScheduled = false;
+    /// More chunks are at hand, so that sending waits for the last of them.
+    bool m_batching = false;
     bool m_paused = false;
     bool m_callerGone = false;
     bool m_flowClosed = false;
--- a/src/libpomelorouter/sessionactions.cpp
+++ b/src/libpomelorouter/sessionactions.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds CancelTimeout{1000};
+/// Routing learns the pace of an engine from this many chunks of each attempt.
+constexpr std::uint64_t LearnedChunks = 32;
 constexpr unsigned StatusOk = 200;
 
 std::string_view nameOfResult(event::ClaimResult result)
@@ -165,17 +167,25 @@
 
 void RequestSession::take(OpenStream &open, streamevent::Chunk &event)
 {
-    const auto now = monotonicNow();
-    if (std::exchange(open.firstChunkSeen, true)) {
-        m_core->placement.nextChunk(address(open.attempt), open.backend, now);
-    } else {
-        m_core->placement.firstChunk(address(open.attempt), open.backend, now);
+    m_batching = true;
+    const auto number = open.chunks++;
+    if (number == 0) {
+        m_core->placement.firstChunk(address(open.attempt), open.backend, monotonicNow());
+    } else if (number < LearnedChunks) {
+        m_core->placement.nextChunk(address(open.attempt), open.backend, monotonicNow());
     }
     feed(event::ChunkArrived{open.attempt, event.chunk.index, std::move(event.chunk.text)});
 }
 
+void RequestSession::take(OpenStream & /*open*/, streamevent::Drained & /*event*/)
+{
+    m_batching = false;
+    m_writer.flush();
+}
+
 void RequestSession::take(OpenStream &open, streamevent::End &event)
 {
+    m_batching = false;
     if (open.exporting) {
         feed(event::SegmentReady{open.attempt, open.member, std::move(event.end.blob)});
         return;
@@ -185,6 +195,7 @@
 
 void RequestSession::take(OpenStream &open, streamevent::Broken &event)
 {
+    m_batching = false;
     trace("attempt " + std::to_string(open.attempt) + " broke at " + open.backend + ": " + event.detail);
     logEvent(LogLevel::Warning,
              "attempt_broken",
@@ -234,11 +245,7 @@
     const auto closes = [&action](const OpenStream &open) {
         return open.attempt == action.attempt && open.backend == action.backend;
     };
-    for (auto &open : m_streams) {
-        if (closes(open)) {
-            open.stream->close();
-        }
-    }
+    m_batching = false;
     std::erase_if(m_streams, closes);
     m_core->placement.attemptClosed(address(action.attempt), action.backend, action.outcome, monotonicNow());
     m_core->wakeNext();
@@ -258,7 +265,6 @@
         return;
     }
     m_writer.chunk(action.index, action.text);
-    scheduleFlush();
     if (m_writer.pendingBytes() > m_core->settings.callerBufferBytes) {
         setPaused(true);
     }
