Trust an instance's own view of itself in discovery

Cause: an instance that had not heard of itself from peers reported version 0 and left itself out of its answers. Change: its own admission counts for itself; traces give whole microseconds. Measured: two instances before stand-ins: the answer was empty before, and names the instance now. Conclusion: discovery works on a fresh instance.

--- a/src/libpomeloport/coordination/discovery.cpp
+++ b/src/libpomeloport/coordination/discovery.cpp
@@ -25,8 +25,12 @@
 
 bool admits(const InstanceView &instance, const Snapshot &snapshot)
 {
+    if (instance.httpAddress.empty()) {
+        return false;
+    }
+    // What peers say about this instance lags behind what it knows itself.
     const bool self = instance.id.instance == snapshot.self.instance;
-    return !instance.httpAddress.empty() && instance.configVersion > 0 && (!self || snapshot.admitting);
+    return self ? snapshot.admitting : instance.configVersion > 0;
 }
 
 std::uint32_t weightOf(const InstanceView &instance, const DiscoveryQuery &query)
--- a/src/libpomelorouter/operatorapi.cpp
+++ b/src/libpomelorouter/operatorapi.cpp
@@ -90,7 +90,7 @@
     }
     boost::json::array steps;
     for (const auto &step : trace->steps()) {
-        steps.push_back({{"at_ms", static_cast<double>(step.at.count()) / 1000}, {"step", step.text}});
+        steps.push_back({{"at_us", step.at.count()}, {"step", step.text}});
     }
     replyJson(exchange, {{"request", id->second}, {"steps", std::move(steps)}});
 }
