--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -29,7 +29,8 @@
     std::size_t bodyBytes = 8 * 1024 * 1024;
     /// Time from the first byte of a request to the end of its headers.
     std::chrono::milliseconds headerTimeout{5000};
-    /// Time that a connection may wait for its next request, and that a body may take.
+    /// Time that a connection may wait for its next request, that a body may take, and that the peer may take to accept
+    /// the rest of a reply once it is complete.
     std::chrono::milliseconds idleTimeout{60000};
 };
 
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -96,10 +96,10 @@
 
 void HttpConnection::timedOut()
 {
-    if (m_phase != Phase::Reading && m_phase != Phase::Lingering) {
+    if (m_phase == Phase::Handling || (m_phase == Phase::Streaming && !m_ended)) {
         return;
     }
-    if (m_phase == Phase::Lingering || !m_answerTimeout) {
+    if (m_phase != Phase::Reading || !m_answerTimeout) {
         close();
         return;
     }
@@ -262,6 +262,7 @@
     m_keepAlive = m_keepAlive && m_state->keepAlive;
     response->keep_alive(m_keepAlive);
     response->prepare_payload();
+    armTimer(m_state->limits.idleTimeout, false);
     auto &message = *response;
     http::async_write(
         m_socket, message, [self = shared_from_this(), response = std::move(response)](Error error, std::size_t) {
--- a/src/libpomeloport/transport/httpstream.cpp
+++ b/src/libpomeloport/transport/httpstream.cpp
@@ -65,6 +65,7 @@
         return;
     }
     m_ended = true;
+    armTimer(m_state->limits.idleTimeout, false);
     m_pending += LastChunk;
     flush();
 }
--- a/src/libpomelorouter/callerapi.cpp
+++ b/src/libpomelorouter/callerapi.cpp
@@ -63,22 +63,6 @@
     return whole ? std::optional(number) : std::nullopt;
 }
 
-/// Whether this router takes new requests now; the failure says why not.
-std::optional<Failure> refusalNow(const RouterCore &core, const Snapshot &snapshot)
-{
-    if (!core.admitsWhileDraining()) {
-        return notRun(ReasonCode::Stopping, "this instance is stopping; use another one", std::chrono::milliseconds(0));
-    }
-    if (!snapshot.admitting) {
-        return notRun(
-            ReasonCode::NotAdmitting, "this instance does not admit now; use another one", OverloadRetryAfter);
-    }
-    if (core.openRequests >= core.settings.maximumOpenRequests) {
-        return notRun(ReasonCode::Overloaded, "too many open requests on this instance", OverloadRetryAfter);
-    }
-    return std::nullopt;
-}
-
 void refuse(RouterCore &core, HttpExchange &exchange, const Failure &failure, const std::string &organisation)
 {
     core.metrics.series(organisation, PromptClass::Short)->countVerdict(failure.verdict, failure.reason);
@@ -106,7 +90,7 @@
 
 void reportReadiness(const RouterCore &core, HttpExchange &exchange)
 {
-    const bool ready = core.snapshot.current()->admitting && !core.draining();
+    const bool ready = !core.admissionRefusal() && !core.draining();
     exchange.reply(ready ? StatusOk : StatusUnavailable, "text/plain", ready ? "ready\n" : "not ready\n");
 }
 
@@ -213,7 +197,7 @@
     const auto token = bearerToken(authorization);
     const auto *organisation = organisationOf(token, snapshot->declarations);
     const auto counted = organisation ? organisation->name : std::string("unknown");
-    if (const auto failure = refusalNow(*core, *snapshot)) {
+    if (const auto failure = core->admissionRefusal()) {
         refuse(*core, *exchange, *failure, counted);
         return;
     }
@@ -293,7 +277,7 @@
     query.failureDomain = queryText(exchange, "failure_domain");
     query.seed = std::hash<std::string>{}(exchange.request().remoteAddress);
     auto answer = discover(*snapshot, query);
-    if (core.draining()) {
+    if (core.draining() || core.snapshotStale()) {
         std::erase_if(answer.endpoints,
                       [&](const DiscoveryEndpoint &endpoint) { return endpoint.instance == core.owner.instance; });
     }
--- a/src/libpomelorouter/requestsession.cpp
+++ b/src/libpomelorouter/requestsession.cpp
@@ -113,7 +113,13 @@
 
 void RequestSession::capacityFreed()
 {
-    post(event::CapacityFreed{});
+    boost::asio::post(m_executor, [self = shared_from_this()] {
+        const auto attempts = self->m_attempts;
+        self->feed(event::CapacityFreed{});
+        if (self->m_attempts != attempts) {
+            self->m_core->wakeNext();
+        }
+    });
 }
 
 void RequestSession::askClaim(std::function<void(link::ClaimHolderState)> callback)
@@ -201,8 +207,9 @@
     for (auto &open : m_streams) {
         paused ? open.stream->pause() : open.stream->resume();
     }
-    if (!paused && m_timerAt <= monotonicNow()) {
-        m_timerAt = monotonicNow() + m_core->settings.flow.stallTimeout;
+    const auto now = monotonicNow();
+    if (!paused && m_timerAt <= now) {
+        m_timerAt = std::min(std::max(m_flow.spec().deadline, now), now + m_core->settings.flow.stallTimeout);
         waitForTimer();
     }
 }
@@ -216,12 +223,16 @@
 /// Starts the timer unless it is going to look early enough: most armings only move the time further away.
 void RequestSession::waitForTimer()
 {
-    m_timerAt = std::min(m_timerAt, std::max(m_flow.spec().deadline, monotonicNow() + Duration{1}));
     if (m_timerLooks <= m_timerAt) {
         return;
     }
-    m_timerLooks = m_timerAt;
-    m_timer.expires_at(m_timerAt);
+    lookAt(m_timerAt);
+}
+
+void RequestSession::lookAt(Instant at)
+{
+    m_timerLooks = at;
+    m_timer.expires_at(at);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
             self->m_timerLooks = Instant::max();
@@ -242,14 +253,7 @@
         return;
     }
     if (m_paused && now < m_flow.spec().deadline) {
-        m_timerLooks = m_flow.spec().deadline;
-        m_timer.expires_at(m_timerLooks);
-        m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (!error) {
-                self->m_timerLooks = Instant::max();
-                self->timerDue();
-            }
-        });
+        lookAt(m_flow.spec().deadline);
         return;
     }
     m_timerAt = Instant::max();
--- a/src/libpomelorouter/requestsession.h
+++ b/src/libpomelorouter/requestsession.h
@@ -50,7 +50,7 @@
     /// Cancels the request on behalf of its caller. Any thread.
     void cancel();
 
-    /// Tells the request that capacity may be free. Any thread.
+    /// Tells the request that capacity may be free; when it takes some, the next one is told. Any thread.
     void capacityFreed();
 
     /// Answers a peer's question about this request's claim, on the executor. Any thread.
@@ -103,6 +103,7 @@
     void setPaused(bool paused);
     void waitForTimer();
     void timerDue();
+    void lookAt(pomeloport::Instant at);
     void trace(std::string text);
     void ended(pomeloport::Verdict verdict, std::optional<pomeloport::ReasonCode> reason);
     void tellClaim(pomeloport::FlowEvent event);
--- a/src/libpomelorouter/routercore.cpp
+++ b/src/libpomelorouter/routercore.cpp
@@ -16,6 +16,8 @@
 
 /// How often a draining router looks whether it may exit.
 constexpr std::chrono::milliseconds DrainCheckInterval{50};
+/// When a caller may try an instance again that refused for the moment.
+constexpr std::chrono::milliseconds RefusedRetryAfter{1000};
 
 std::unique_ptr<PlatformClient> makePlatform(boost::asio::io_context &context, const RouterSettings &settings)
 {
@@ -63,6 +65,9 @@
                   {"backends", next->backends.size()}});
     }
     snapshot.publish(next);
+    const auto now = monotonicNow().time_since_epoch().count();
+    const auto previous = snapshotAt.exchange(now);
+    snapshotGap = previous == 0 ? 0 : now - previous;
     placement.update(std::move(next), monotonicNow());
     wakeNext();
 }
@@ -110,10 +115,28 @@
     return m_drainPlan.started();
 }
 
-bool RouterCore::admitsWhileDraining() const
+bool RouterCore::snapshotStale() const
 {
-    const std::lock_guard lock(m_drainMutex);
-    return m_drainPlan.admits(monotonicNow());
+    const Instant publishedAt{Duration{snapshotAt.load()}};
+    return link && monotonicNow() - publishedAt > settings.controllerGrace + Duration{snapshotGap.load()};
+}
+
+std::optional<Failure> RouterCore::admissionRefusal() const
+{
+    {
+        const std::lock_guard lock(m_drainMutex);
+        if (!m_drainPlan.admits(monotonicNow())) {
+            return Failure{Verdict::NotRun, ReasonCode::Stopping, "this instance is stopping", std::nullopt};
+        }
+    }
+    if (!snapshot.current()->admitting || snapshotStale()) {
+        return Failure{
+            Verdict::NotRun, ReasonCode::NotAdmitting, "this instance does not admit now", RefusedRetryAfter};
+    }
+    if (openRequests >= settings.maximumOpenRequests) {
+        return Failure{Verdict::NotRun, ReasonCode::Overloaded, "too many open requests", RefusedRetryAfter};
+    }
+    return std::nullopt;
 }
 
 void RouterCore::armDrainTimer()
--- a/src/libpomelorouter/routercore.h
+++ b/src/libpomelorouter/routercore.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 
 /// What the parts of one router share.
@@ -54,8 +55,12 @@
     /// Whether a drain has started.
     bool draining() const;
 
-    /// Whether requests are admitted as far as a drain is concerned.
-    bool admitsWhileDraining() const;
+    /// Why no request is admitted now; empty when requests are admitted.
+    std::optional<pomeloport::Failure> admissionRefusal() const;
+
+    /// Whether the controller has been silent for longer than the settings allow beyond its
+    /// usual interval, so that the snapshot may be stale.
+    bool snapshotStale() const;
 
     /// Open requests over the limit, 0 to 1.
     double load() const;
@@ -74,6 +79,10 @@
     RequestMetrics metrics;
     TraceRing traces;
     RequestRegistry registry;
+    /// When the last snapshot was published, as a count of the monotonic clock; 0 before.
+    std::atomic<pomeloport::Duration::rep> snapshotAt{0};
+    /// Time between the last two snapshots; larger fleets get them less often.
+    std::atomic<pomeloport::Duration::rep> snapshotGap{0};
     /// Set before requests arrive; null without a controller.
     std::shared_ptr<ControllerLink> link;
     std::shared_ptr<pomeloport::HttpServer> server;
--- a/src/libpomelorouter/routersettings.cpp
+++ b/src/libpomelorouter/routersettings.cpp
@@ -53,6 +53,7 @@
     settings.metricsOrganisations =
         reader.number("metrics_organisations", settings.metricsOrganisations, 1, MostOrganisations);
     settings.traceRequests = reader.number("trace_requests", settings.traceRequests, 1, MostRequests);
+    settings.controllerGrace = reader.duration("controller_grace", settings.controllerGrace, 100ms, 1h);
     settings.drainPropagation = reader.duration("drain_propagation", settings.drainPropagation, 0ms, 10min);
 }
 
--- a/src/libpomelorouter/tracering.cpp
+++ b/src/libpomelorouter/tracering.cpp
@@ -7,7 +7,8 @@
 void RequestTrace::add(Duration at, std::string text)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_steps.size() < MaximumSteps) {
+    if (m_steps.size() < MaximumSteps && m_bytes + text.size() <= MaximumBytes) {
+        m_bytes += text.size();
         m_steps.push_back({at, std::move(text)});
     }
 }
--- a/src/libpomelorouter/tracering.h
+++ b/src/libpomelorouter/tracering.h
@@ -28,6 +28,8 @@
 public:
     /// Steps kept for one request; later ones are dropped.
     static constexpr std::size_t MaximumSteps = 64;
+    /// Bytes of text kept for one request; steps beyond are dropped.
+    static constexpr std::size_t MaximumBytes = 8UL * 1024;
 
     /// Adds a step.
     void add(pomeloport::Duration at, std::string text);
@@ -38,6 +40,7 @@
 private:
     mutable std::mutex m_mutex;
     std::vector<TraceStep> m_steps;
+    std::size_t m_bytes = 0;
 };
 
 /// Keeps the traces of the latest requests, open or ended. Safe from any thread.
