--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -120,3 +120,27 @@
     ServerFixture fixture([](const std::shared_ptr<HttpExchange> &) {});
     REQUIRE(fixture.talk("GET / HTTP/1.1\r\n\r\n").empty());
 }
+
+TEST_CASE("http server gives up on a peer that does not take the rest of its reply")
+{
+    constexpr std::size_t ReplyBytes = 64UL * 1024 * 1024;
+    HttpLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(50);
+    ServerFixture fixture(
+        [](const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->reply(200, "text/plain", std::string(ReplyBytes, 'x'));
+        },
+        limits);
+    auto socket = fixture.connect();
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    char byte = 0;
+    asio::read(socket, asio::buffer(&byte, 1));
+    REQUIRE(fixture.server->busyConnections() == 1);
+    while (fixture.server->busyConnections() > 0) {
+        std::this_thread::yield();
+    }
+    std::string rest;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(rest), error);
+    REQUIRE(rest.size() < ReplyBytes);
+}
