--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <chrono>
 #include <cstddef>
@@ -29,7 +29,8 @@
     std::size_t bodyBytes = 8 * 1024 * 1024;
     /// Time from the first byte of a request to the end of its headers.
     std::chrono::milliseconds headerTimeout{5000};
-    /// Time that a connection may wait for its next request, and that a body may take.
+    /// Time that a connection may wait for its next request, that a body may take, and that the peer may take to accept
+    /// the rest of a reply once it is complete.
     std::chrono::milliseconds idleTimeout{60000};
 };
 
@@ -68,7 +69,7 @@
     std::string takeBody();
 
     /// The executor that serialises this connection's callbacks.
-    boost::asio::any_io_executor executor() const;
+    boost::asio::strand<boost::asio::io_context::executor_type> executor() const;
 
     /// Sends a whole reply.
     void reply(unsigned status,
--- a/src/libpomelorouter/requestsession.cpp
+++ b/src/libpomelorouter/requestsession.cpp
@@ -113,7 +113,13 @@
 
 void RequestSession::capacityFreed()
 {
-    post(event::CapacityFreed{});
+    boost::asio::post(m_executor, [self = shared_from_this()] {
+        const auto attempts = self->m_attempts;
+        self->feed(event::CapacityFreed{});
+        if (self->m_attempts != attempts) {
+            self->m_core->wakeNext();
+        }
+    });
 }
 
 void RequestSession::askClaim(std::function<void(link::ClaimHolderState)> callback)
@@ -132,23 +138,35 @@
 /// Feeds one event and carries out the actions. Events that arise meanwhile are fed afterwards, in order.
 void RequestSession::feed(FlowEvent event)
 {
-    m_events.push_back(std::move(event));
     if (m_feeding) {
+        m_events.push_back(std::move(event));
         return;
     }
     const auto self = shared_from_this();
     m_feeding = true;
-    while (!m_events.empty() && !m_flowClosed) {
+    handle(event);
+    while (!m_events.empty()) {
         const auto next = std::move(m_events.front());
         m_events.pop_front();
-        for (auto &action : m_flow.handle(next, monotonicNow())) {
-            std::visit([this](auto &value) { execute(value); }, action);
-        }
+        handle(next);
     }
     m_feeding = false;
+    if (!m_batching && !m_finished) {
+        m_writer.flush();
+    }
     finishIfDone();
 }
 
+void RequestSession::handle(const FlowEvent &event)
+{
+    if (m_flowClosed) {
+        return;
+    }
+    for (auto &action : m_flow.handle(event, monotonicNow())) {
+        std::visit([this](auto &value) { execute(value); }, action);
+    }
+}
+
 RouteDecision RequestSession::choose(const RouteQuery &query, Instant now)
 {
     const bool explained = m_core->snapshot.current()->backends.size() <= ExplainedBackends;
@@ -172,20 +190,6 @@
     return address;
 }
 
-/// Several chunks that arrive together are sent together.
-void RequestSession::scheduleFlush()
-{
-    if (std::exchange(m_flushScheduled, true)) {
-        return;
-    }
-    boost::asio::post(m_executor, [self = shared_from_this()] {
-        self->m_flushScheduled = false;
-        if (!self->m_finished) {
-            self->m_writer.flush();
-        }
-    });
-}
-
 void RequestSession::pieceWritten(bool ok)
 {
     m_writer.pieceWritten(ok);
@@ -203,8 +207,9 @@
     for (auto &open : m_streams) {
         paused ? open.stream->pause() : open.stream->resume();
     }
-    if (!paused && m_timerAt <= monotonicNow()) {
-        m_timerAt = monotonicNow() + m_core->settings.flow.stallTimeout;
+    const auto now = monotonicNow();
+    if (!paused && m_timerAt <= now) {
+        m_timerAt = std::min(std::max(m_flow.spec().deadline, now), now + m_core->settings.flow.stallTimeout);
         waitForTimer();
     }
 }
@@ -218,12 +223,16 @@
 /// Starts the timer unless it is going to look early enough: most armings only move the time further away.
 void RequestSession::waitForTimer()
 {
-    m_timerAt = std::min(m_timerAt, std::max(m_flow.spec().deadline, monotonicNow() + Duration{1}));
     if (m_timerLooks <= m_timerAt) {
         return;
     }
-    m_timerLooks = m_timerAt;
-    m_timer.expires_at(m_timerAt);
+    lookAt(m_timerAt);
+}
+
+void RequestSession::lookAt(Instant at)
+{
+    m_timerLooks = at;
+    m_timer.expires_at(at);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
             self->m_timerLooks = Instant::max();
@@ -244,14 +253,7 @@
         return;
     }
     if (m_paused && now < m_flow.spec().deadline) {
-        m_timerLooks = m_flow.spec().deadline;
-        m_timer.expires_at(m_timerLooks);
-        m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-            if (!error) {
-                self->m_timerLooks = Instant::max();
-                self->timerDue();
-            }
-        });
+        lookAt(m_flow.spec().deadline);
         return;
     }
     m_timerAt = Instant::max();
