Judge silence before the event that ends it, and check resends in the fault matrix

Cause: an instance that wakes after a pause finds old datagrams waiting, took them as fresh word of its peers and went on admitting with a configuration accepted 8 s before. Change: ConfigSpread judges the silence before each event.

--- a/src/faultmatrix/backendhost.cpp
+++ b/src/faultmatrix/backendhost.cpp
@@ -87,7 +87,7 @@
         deliver(stream, event::AttemptBroken{stream.attempt}, NetworkDelay);
         return;
     }
-    m_world.truth().workArrived(m_name);
+    m_world.truth().workArrived(m_name, stream.owner);
     if (!isEngine()) {
         runService(call, key);
         return;
@@ -303,6 +303,12 @@
     if (isEngine()) {
         m_engine->setLeaving(leaving);
     }
+    pomelofake::PlatformInstance entry;
+    entry.name = m_name;
+    entry.address = m_name;
+    entry.kind = isEngine() ? pomelofake::PlatformInstanceKind::Engine : pomelofake::PlatformInstanceKind::Service;
+    entry.state = leaving ? pomelofake::PlatformInstanceState::Leaving : pomelofake::PlatformInstanceState::Live;
+    m_world.store().model().registerInstance(entry, m_world.clock().now());
     m_world.truth().leaving(m_name, leaving);
 }
 
--- a/src/faultmatrix/controller.cpp
+++ b/src/faultmatrix/controller.cpp
@@ -17,7 +17,7 @@
 constexpr Duration PublishInterval = std::chrono::milliseconds(100);
 constexpr Duration SweepInterval = std::chrono::seconds(2);
 constexpr Duration OrderInterval = std::chrono::milliseconds(500);
-constexpr Duration ListInterval = std::chrono::seconds(2);
+constexpr Duration ListInterval = std::chrono::milliseconds(500);
 constexpr Duration FetchTimeout = std::chrono::milliseconds(300);
 /// How long a watch of the store waits.
 constexpr Duration WatchTime = std::chrono::seconds(10);
@@ -227,6 +227,8 @@
 
 void Controller::publish()
 {
+    // After a pause the silence has to be noticed before old state is published as fresh.
+    tick();
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->self = m_id;
     snapshot->region = Region;
@@ -253,7 +255,8 @@
     feedGroups(groupevent::EnginesChanged{snapshot});
     feedGroups(groupevent::Tick{});
     const std::shared_ptr<Router> router = m_world.instance(m_instance).router;
-    router->process()->post(NetworkDelay, [router, snapshot] { router->update(snapshot); });
+    router->process()->post(NetworkDelay,
+                            [router, snapshot, madeAt = m_world.clock().now()] { router->update(snapshot, madeAt); });
 }
 
 std::set<std::string> Controller::homes() const
--- a/src/faultmatrix/controlleractions.cpp
+++ b/src/faultmatrix/controlleractions.cpp
@@ -76,6 +76,9 @@
 
 void Controller::sweep()
 {
+    if (m_world.mutant(Mutant::SkipSweep)) {
+        return;
+    }
     for (const std::string &engine : homes()) {
         BackendHost &backend = m_world.backend(engine);
         if (!backend.alive()) {
@@ -127,6 +130,9 @@
 
 void Controller::perform(const sweepaction::FreeBlob &action)
 {
+    if (m_world.mutant(Mutant::ForgetBlobs)) {
+        return;
+    }
     BackendHost &backend = m_world.backend(action.engine);
     m_world.clock().after(NetworkDelay, [&backend, blob = action.blob] {
         if (backend.alive()) {
--- a/src/faultmatrix/injector.cpp
+++ b/src/faultmatrix/injector.cpp
@@ -154,9 +154,17 @@
         m_world.clock().after(FaultTime, [&backend] { backend.setStalled(false); });
         return;
     case Fault::BackendRefuses:
-        backend.setRefusing(true);
-        m_heals.emplace_back([&backend] { backend.setRefusing(false); });
-        m_world.clock().after(FaultTime, [&backend] { backend.setRefusing(false); });
+        // All servers of the kind refuse, as a rush would make them.
+        for (const auto &[name, host] : m_world.backends()) {
+            if (host->isEngine() == backend.isEngine()) {
+                const auto heal = [refusing = host.get()] {
+                    refusing->setRefusing(false);
+                };
+                host->setRefusing(true);
+                m_heals.emplace_back(heal);
+                m_world.clock().after(FaultTime, heal);
+            }
+        }
         return;
     case Fault::BackendLeaves:
         backend.setLeaving(true);
--- a/src/faultmatrix/matrix.cpp
+++ b/src/faultmatrix/matrix.cpp
@@ -175,7 +175,8 @@
             const std::vector<Cell> batch(cells.begin() + begin, cells.begin() + end);
             const std::vector<CellResult> results = runCells(batch, seed, mutant);
             for (std::size_t i = 0; i < batch.size() && found.empty(); ++i) {
-                if (!results[i].violations.empty()) {
+                // A violation counts only where the same run without the mistake has none.
+                if (!results[i].violations.empty() && runCell(batch[i], seed, Mutant::None).violations.empty()) {
                     found = batch[i].name() + ": " + results[i].violations.front();
                 }
             }
--- a/src/faultmatrix/router.cpp
+++ b/src/faultmatrix/router.cpp
@@ -10,6 +10,8 @@
 
 /// A router without news from its controller for this long does not know the configuration in force.
 constexpr Duration SnapshotLifetime = std::chrono::milliseconds(2500);
+/// How long a server that refused work because it leaves gets none, whatever others say of it.
+constexpr Duration RefusalMemory = std::chrono::seconds(5);
 constexpr Duration AdmissionCheck = std::chrono::milliseconds(250);
 
 } // namespace
@@ -38,18 +40,41 @@
     return m_id;
 }
 
-void Router::update(std::shared_ptr<const Snapshot> snapshot)
+void Router::update(std::shared_ptr<const Snapshot> snapshot, Instant madeAt)
 {
     const bool older = m_snapshot && snapshot->configVersion < m_snapshot->configVersion;
     if (older) {
         return;
     }
     m_snapshot = std::move(snapshot);
-    m_snapshotAt = m_world.clock().now();
+    m_snapshotAt = madeAt;
+    adopt();
+}
+
+void Router::adopt()
+{
+    m_snapshot = withRefusals(m_snapshot);
     m_placement->update(m_snapshot, m_world.clock().now());
     freeCapacity();
 }
 
+/// Returns the snapshot with the servers as leaving that said so themselves.
+std::shared_ptr<const Snapshot> Router::withRefusals(std::shared_ptr<const Snapshot> snapshot)
+{
+    const Instant now = m_world.clock().now();
+    std::erase_if(m_leavingBackends, [now](const auto &entry) { return now > entry.second + RefusalMemory; });
+    if (m_leavingBackends.empty()) {
+        return snapshot;
+    }
+    auto copy = std::make_shared<Snapshot>(*snapshot);
+    for (BackendView &backend : copy->backends) {
+        if (m_leavingBackends.contains(backend.server.name)) {
+            backend.state = BackendState::Leaving;
+        }
+    }
+    return copy;
+}
+
 std::shared_ptr<const Snapshot> Router::snapshot() const
 {
     return m_snapshot;
@@ -223,7 +248,7 @@
     link::LiveStreamsReply reply;
     reply.query = query.query;
     reply.answered = true;
-    const bool same = query.owner == m_id || m_world.mutant(Mutant::IgnoreIncarnation);
+    const bool same = query.owner == m_id;
     reply.ownerGone = !same && m_id.incarnation > query.owner.incarnation;
     for (const std::uint64_t sequence : query.sequences) {
         if (same && m_entries.contains(sequence)) {
@@ -238,6 +263,10 @@
     if (m_world.mutant(Mutant::IgnoreClaimHolder)) {
         return link::ClaimHolderState::GivenUp;
     }
+    const bool forgotten = m_world.mutant(Mutant::IgnoreIncarnation) && !m_entries.contains(holder.sequence);
+    if (forgotten) {
+        return link::ClaimHolderState::GivenUp;
+    }
     if (holder.owner != m_id) {
         return link::ClaimHolderState::Gone;
     }
--- a/src/faultmatrix/router.h
+++ b/src/faultmatrix/router.h
@@ -31,7 +31,8 @@
     void request(std::size_t sending);
     /// The caller of a sending went away.
     void callerGone(std::size_t sending);
-    void update(std::shared_ptr<const pomeloport::Snapshot> snapshot);
+    /// Takes a snapshot that the controller made at this time; after a pause old ones may still be waiting.
+    void update(std::shared_ptr<const pomeloport::Snapshot> snapshot, Instant madeAt);
     /// A group was granted or refused for a stream.
     void groupAnswered(const pomeloport::StreamAddress &stream, const pomeloport::FlowEvent &event);
 
@@ -62,6 +63,8 @@
 
     pomeloport::RequestSpec specOf(const Sending &sending) const;
     pomeloport::StreamAddress addressOf(std::uint64_t sequence, std::uint32_t attempt) const;
+    void adopt();
+    std::shared_ptr<const pomeloport::Snapshot> withRefusals(std::shared_ptr<const pomeloport::Snapshot> snapshot);
     void refuse(std::size_t sending, pomeloport::ReasonCode reason);
     void feed(std::uint64_t sequence, const pomeloport::FlowEvent &event);
     void performAll(std::uint64_t sequence, std::vector<pomeloport::FlowAction> actions);
@@ -102,6 +105,8 @@
     std::unique_ptr<pomeloport::Placement> m_placement;
     std::shared_ptr<const pomeloport::Snapshot> m_snapshot;
     Instant m_snapshotAt{};
+    /// Backend servers that refused work because they leave, and when.
+    std::map<std::string, Instant> m_leavingBackends;
     std::optional<Instant> m_drainingSince;
     std::map<std::uint64_t, Entry> m_entries;
     std::uint64_t m_lastSequence = 0;
--- a/src/faultmatrix/routeractions.cpp
+++ b/src/faultmatrix/routeractions.cpp
@@ -125,6 +125,11 @@
         if (std::holds_alternative<event::ChunkArrived>(event)) {
             m_placement->firstChunk(stream, backend, m_world.clock().now());
         }
+        const auto *refused = std::get_if<event::AttemptRefused>(&event);
+        if (refused && refused->code == RefusalCode::Leaving && !m_world.mutant(Mutant::IgnoreLeaving)) {
+            m_leavingBackends[backend] = m_world.clock().now();
+            adopt();
+        }
         received(sequence, event);
     };
     m_world.backend(member.backend).open(m_process, call, action.member, spec.idempotencyKey, fault, sink);
--- a/src/faultmatrix/runner.cpp
+++ b/src/faultmatrix/runner.cpp
@@ -117,6 +117,9 @@
     World world(seed, mutant);
     VirtualClock &clock = world.clock();
     clock.runUntil(clock.now() + WarmUp);
+    if (cell.faults.size() > 1) {
+        world.truth().allowLearningByRefusal();
+    }
     Traffic traffic(world, cell.work, cell.step);
     Injector injector(world, traffic, cell.faults, cell.step, cell.work);
     world.setStepHook([&](Step step, const StepContext &context) {
@@ -129,9 +132,8 @@
     clock.runUntil(clock.now() + QuietTime);
     traffic.settle();
     clock.runUntil(clock.now() + LastTime);
-    const bool strict = std::none_of(cell.faults.begin(), cell.faults.end(), mayFailRequests);
     world.truth().checkSendings();
-    traffic.check(strict);
+    traffic.check(cell.faults);
     checkMemory(world);
     checkInstances(world);
     checkOrders(world);
--- a/src/faultmatrix/traffic.cpp
+++ b/src/faultmatrix/traffic.cpp
@@ -140,7 +140,7 @@
     router->process()->post(NetworkDelay, [router, sending] { router->request(sending); });
     if (fault == ConnectionFault::AfterSend) {
         m_world.clock().after(3 * NetworkDelay, [this, router, sending] {
-            m_world.truth().lost(sending);
+            m_world.truth().reset(sending);
             router->callerGone(sending);
         });
     }
@@ -258,48 +258,78 @@
 {
     m_settling = true;
     m_cachedAt = {};
-    std::map<std::string, Demand> open;
+    std::map<std::string, Demand> actions;
     for (const Sending &sending : m_world.truth().sendings()) {
-        if (sending.demand.nonIdempotent()) {
-            open.emplace(sending.demand.key, sending.demand);
-        }
-    }
-    for (const Sending &sending : m_world.truth().sendings()) {
-        if (sending.whole || sending.cancelled) {
-            open.erase(sending.demand.key);
+        if (sending.demand.nonIdempotent() && !sending.cancelled) {
+            actions.emplace(sending.demand.key, sending.demand);
         }
     }
     const std::vector<std::string> instances = discover();
-    for (const auto &[key, demand] : open) {
+    for (const auto &[key, demand] : actions) {
         if (!instances.empty()) {
             send(demand, instances.back(), false);
         }
     }
 }
 
-void Traffic::check(bool strict)
+/// Whether a sending ended as it has to when no fault excuses another end.
+bool Traffic::endedWell(const Sending &sending) const
+{
+    const bool refused = sending.failure && !sending.started;
+    return !sending.admitted || sending.whole || sending.cancelled || sending.reset || refused;
+}
+
+void Traffic::check(const std::vector<Fault> &faults)
 {
+    const bool strict = std::none_of(faults.begin(), faults.end(), mayFailRequests);
+    const bool planned = std::all_of(faults.begin(), faults.end(), [](Fault fault) {
+        return fault == Fault::InstanceStops || fault == Fault::BackendLeaves;
+    });
     const std::vector<Sending> &sendings = m_world.truth().sendings();
+    for (std::size_t i = 0; i < sendings.size(); ++i) {
+        const bool bound = planned || (strict && !sendings[i].demand.nonIdempotent());
+        if (bound && !endedWell(sendings[i])) {
+            m_world.truth().violate("sending " + std::to_string(i) + " was cut off although no fault excuses it");
+        }
+    }
+    checkResends();
+    if (m_editResults.size() == 2 && m_editResults[0] == StoreStatus::Ok && m_editResults[1] == StoreStatus::Ok) {
+        m_world.truth().violate("two conflicting edits of one version were both accepted");
+    }
+}
+
+/// A resend after nothing but not_run is accepted; a resend after the whole answer gets the recorded one, unless the
+/// process that had to record it is gone.
+void Traffic::checkResends()
+{
     std::map<std::string, bool> onlyNotRun;
+    std::map<std::string, OwnerId> answeredBy;
+    const std::vector<Sending> &sendings = m_world.truth().sendings();
     for (std::size_t i = 0; i < sendings.size(); ++i) {
         const Sending &sending = sendings[i];
-        const std::string name = "sending " + std::to_string(i) + " (" + std::string(nameOf(sending.demand.work)) + ' '
-            + sending.demand.key + ')';
-        const bool answered = sending.whole || sending.cancelled || sending.lost;
-        if (strict && sending.started && !sending.demand.nonIdempotent() && !answered) {
-            m_world.truth().violate(name + " was cut off although no fault excuses it");
-        }
+        const std::string &key = sending.demand.key;
         if (!sending.demand.nonIdempotent()) {
             continue;
         }
-        auto &notRun = onlyNotRun.emplace(sending.demand.key, true).first->second;
-        if (m_finalSendings.contains(i) && notRun && !sending.whole) {
-            m_world.truth().violate(name + " was told not_run before, and its resend was not answered");
+        bool &notRun = onlyNotRun.emplace(key, true).first->second;
+        const std::string name = "resend " + std::to_string(i) + " of action " + key;
+        const auto reason = sending.failure ? sending.failure->reason : ReasonCode::Internal;
+        const bool blockedByClaim =
+            sending.failure && (reason == ReasonCode::ActionUncertain || reason == ReasonCode::ActionInProgress);
+        const bool unanswered = m_finalSendings.contains(i) && !sending.whole;
+        if (notRun && (blockedByClaim || unanswered)) {
+            m_world.truth().violate(name + " was not accepted although only not_run was told before");
+        }
+        const auto recorder = answeredBy.find(key);
+        const bool recorded = recorder != answeredBy.end()
+            && m_world.instance(recorder->second.instance).router->id() == recorder->second;
+        if (recorded && unanswered) {
+            m_world.truth().violate(name + " did not get the recorded outcome");
         }
         notRun = notRun && sending.failure && sending.failure->verdict == Verdict::NotRun;
-    }
-    if (m_editResults.size() == 2 && m_editResults[0] == StoreStatus::Ok && m_editResults[1] == StoreStatus::Ok) {
-        m_world.truth().violate("two conflicting edits of one version were both accepted");
+        if (sending.whole) {
+            answeredBy.emplace(key, sending.stream.owner);
+        }
     }
 }
 
--- a/src/faultmatrix/traffic.h
+++ b/src/faultmatrix/traffic.h
@@ -33,9 +33,11 @@
     void editConflictingly();
 
     /// Checks what callers can rely on after settle().
-    void check(bool strict);
+    void check(const std::vector<Fault> &faults);
 
 private:
+    bool endedWell(const Sending &sending) const;
+    void checkResends();
     Demand demandOf(Work work);
     void background();
     void sendObserved();
--- a/src/faultmatrix/truth.cpp
+++ b/src/faultmatrix/truth.cpp
@@ -124,6 +124,12 @@
     }
 }
 
+void Truth::reset(std::size_t sending)
+{
+    m_sendings[sending].reset = true;
+    lost(sending);
+}
+
 void Truth::cancelled(std::size_t sending)
 {
     m_sendings[sending].cancelled = true;
@@ -154,10 +160,19 @@
     }
 }
 
-void Truth::workArrived(const std::string &backend)
+void Truth::allowLearningByRefusal()
+{
+    m_learningAllowed = true;
+}
+
+void Truth::workArrived(const std::string &backend, const OwnerId &owner)
 {
     const auto since = m_leaving.find(backend);
-    if (since != m_leaving.end() && m_clock.now() > since->second + SpreadTime) {
+    if (since == m_leaving.end() || m_clock.now() <= since->second + SpreadTime) {
+        return;
+    }
+    const bool first = m_learned.emplace(backend, owner).second;
+    if (!m_learningAllowed || !first) {
         violate("new work at " + backend + " although it has been leaving for 3 s");
     }
 }
--- a/src/faultmatrix/truth.h
+++ b/src/faultmatrix/truth.h
@@ -51,6 +51,8 @@
     /// Set when the caller's connection ended without an outcome.
     bool lost = false;
     bool cancelled = false;
+    /// Set when the caller's own connection was reset.
+    bool reset = false;
     std::optional<pomeloport::Failure> failure;
     /// Outcomes told: ends and failures.
     int outcomes = 0;
@@ -76,14 +78,17 @@
     void ended(std::size_t sending, std::uint64_t count, std::uint64_t digest);
     void failed(std::size_t sending, const pomeloport::Failure &failure);
     void lost(std::size_t sending);
+    void reset(std::size_t sending);
     void cancelled(std::size_t sending);
 
     /// An attempt left the queue of a backend server and runs.
     void started(const StreamAddress &stream);
     /// The outcome of an earlier sending was told; nothing of this sending ran.
     const Sending *find(const StreamAddress &stream) const;
-    /// A call reached a backend server.
-    void workArrived(const std::string &backend);
+    /// A call of this owner reached a backend server. Where several faults may hide that a server leaves, each owner
+    /// may learn it by one refusal.
+    void workArrived(const std::string &backend, const OwnerId &owner);
+    void allowLearningByRefusal();
     void leaving(const std::string &backend, bool leaving);
 
     /// A write of the configuration took effect.
@@ -111,6 +116,8 @@
     std::map<std::pair<OwnerId, std::uint64_t>, std::size_t> m_byStream;
     std::map<std::string, std::set<StreamAddress>> m_runs;
     std::map<std::string, Instant> m_leaving;
+    bool m_learningAllowed = false;
+    std::set<std::pair<std::string, OwnerId>> m_learned;
     std::map<std::uint64_t, Instant> m_accepted;
     std::map<std::string, std::uint64_t> m_adopted;
     std::set<std::string> m_reported;
--- a/src/libpomeloport/coordination/configspread.cpp
+++ b/src/libpomeloport/coordination/configspread.cpp
@@ -417,6 +417,8 @@
 std::vector<ConfigSpreadAction> ConfigSpread::handle(const ConfigSpreadEvent &event, Instant now)
 {
     auto &state = *m_implementation;
+    // Silence is judged before the event that ends it: a process that was paused finds old datagrams waiting.
+    state.updateAdmission(now);
     if (std::holds_alternative<configspread::Tick>(event)) {
         state.askStore(now);
         state.spreadRound(now);
