Keep the fault matrix's engines and store going

Cause: the stand-ins' next step was forgotten when a load report had moved it, so a stream could stand still. Change: each host keeps the time of its next step.

--- a/src/faultmatrix/backendhost.cpp
+++ b/src/faultmatrix/backendhost.cpp
@@ -145,13 +145,16 @@
     }
     note();
     const Instant next = m_engine->nextEventAt();
-    if (next != Instant::max()) {
-        m_world.clock().after(next - m_world.clock().now(), [this, next] {
-            if (m_alive && m_engine->nextEventAt() <= next) {
-                pump();
-            }
-        });
+    if (next >= m_pumpAt) {
+        return;
     }
+    m_pumpAt = next;
+    m_world.clock().after(next - m_world.clock().now(), [this, next] {
+        if (m_pumpAt == next) {
+            m_pumpAt = Instant::max();
+            pump();
+        }
+    });
 }
 
 /// Tells the truth which streams have left the engine's queue.
@@ -281,6 +284,7 @@
 void BackendHost::setStalled(bool stalled)
 {
     m_stalled = stalled;
+    m_world.clock().trace(m_name + (stalled ? " stalls" : " goes on"));
     if (isEngine()) {
         m_disturbed += m_engine->holdings().holdings.empty() ? 0 : 1;
         m_engine->setStalled(stalled, m_world.clock().now());
--- a/src/faultmatrix/controlleractions.cpp
+++ b/src/faultmatrix/controlleractions.cpp
@@ -116,6 +116,7 @@
 void Controller::perform(const sweepaction::CancelStream &action)
 {
     BackendHost &backend = m_world.backend(action.engine);
+    m_world.clock().trace(m_instance + " sweeps " + toString(action.stream) + " from " + action.engine);
     for (const Instance &instance : m_world.instances()) {
         if (instance.router->isOpen(action.stream) && backend.isConnected(action.stream)) {
             m_world.truth().violate("the sweep cancels a stream of the live owner " + instance.name);
--- a/src/faultmatrix/hosts.h
+++ b/src/faultmatrix/hosts.h
@@ -68,6 +68,8 @@
     pomelofake::PlatformModel m_model;
     std::map<std::uint64_t, Waiting> m_waiting;
     Duration m_requestDelay{};
+    /// When pump() is due.
+    Instant m_pumpAt = Instant::max();
     std::size_t m_disturbed = 0;
 };
 
@@ -141,6 +143,8 @@
     bool m_refusing = false;
     bool m_leaving = false;
     std::uint64_t m_generation = 0;
+    /// When pump() is due.
+    Instant m_pumpAt = Instant::max();
     std::optional<std::pair<Fault, std::size_t>> m_chunkFault;
     std::optional<pomeloport::StreamAddress> m_lateStream;
     std::size_t m_disturbed = 0;
--- a/src/faultmatrix/routeractions.cpp
+++ b/src/faultmatrix/routeractions.cpp
@@ -105,6 +105,7 @@
     const RequestSpec &spec = entry.flow->spec();
     const RouteMember &member = action.route.members[action.member];
     const StreamAddress stream = addressOf(sequence, action.attempt);
+    m_world.clock().trace("attempt " + toString(stream) + " goes to " + member.backend);
     m_placement->attemptOpened(stream, spec, member, m_world.clock().now());
     GenerateCall call;
     call.stream = stream;
--- a/src/faultmatrix/storehost.cpp
+++ b/src/faultmatrix/storehost.cpp
@@ -87,13 +87,16 @@
         });
     }
     const Instant next = m_model.nextEventAt();
-    if (next != Instant::max()) {
-        m_world.clock().after(next - m_world.clock().now(), [this, next] {
-            if (m_model.nextEventAt() <= next) {
-                pump();
-            }
-        });
+    if (next >= m_pumpAt) {
+        return;
     }
+    m_pumpAt = next;
+    m_world.clock().after(next - m_world.clock().now(), [this, next] {
+        if (m_pumpAt == next) {
+            m_pumpAt = Instant::max();
+            pump();
+        }
+    });
 }
 
 pomelofake::PlatformModel &StoreHost::model()
