Let stand-in engines ask the weight store before they load

The platform's weight store had a rate limit that nothing ran into. An engine that knows the platform now loads an item only once the store has granted it. Unit test added.

--- a/src/fakeengine/enginehost.cpp
+++ b/src/fakeengine/enginehost.cpp
@@ -21,6 +21,8 @@
 namespace {
 
 constexpr auto SampleInterval = std::chrono::milliseconds(50);
+/// Asks the weight store at most once in this many samples, which is four times a second.
+constexpr std::uint64_t SamplesPerWeightQuestion = 5;
 void refuse(const ExchangePointer &exchange, RefusalCode code)
 {
     const auto status = code == RefusalCode::Full ? HttpStatus::TooManyRequests : HttpStatus::Unavailable;
@@ -44,11 +46,16 @@
 
 } // namespace
 
-EngineHost::EngineHost(boost::asio::io_context &context, pomelofake::EngineModelSettings settings, HostFaults faults)
+EngineHost::EngineHost(boost::asio::io_context &context,
+                       pomelofake::EngineModelSettings settings,
+                       HostFaults faults,
+                       std::string platform)
     : m_model(std::move(settings))
     , m_faults(faults)
     , m_stepTimer(context)
     , m_sampleTimer(context)
+    , m_client(context)
+    , m_platform(std::move(platform))
 {
     sample();
 }
@@ -267,6 +274,9 @@
     while (m_published.size() > 1 && m_published[1].at + m_faults.lag <= now) {
         m_published.pop_front();
     }
+    if (++m_samples % SamplesPerWeightQuestion == 0) {
+        askForWeights();
+    }
     m_sampleTimer.expires_after(SampleInterval);
     m_sampleTimer.async_wait([this](const boost::system::error_code &error) {
         if (!error) {
@@ -275,6 +285,23 @@
     });
 }
 
+/// Asks the weight store for the item awaited, if any; it is asked again later when it refuses.
+void EngineHost::askForWeights()
+{
+    const auto item = m_model.awaitedWeights();
+    if (!item || std::exchange(m_askingForWeights, true)) {
+        return;
+    }
+    m_client.send({m_platform, "POST", "/v1/weights/" + *item, {}, {}},
+                  [this, item = *item](const std::optional<pomeloport::HttpReply> &reply, bool /*sent*/) {
+                      m_askingForWeights = false;
+                      if (reply && reply->status == static_cast<unsigned>(HttpStatus::Ok)) {
+                          m_model.grantWeights(item, steadyNow());
+                          pump();
+                      }
+                  });
+}
+
 const EngineHost::Published &EngineHost::published() const
 {
     return m_published.front();
--- a/src/fakeengine/enginehost.h
+++ b/src/fakeengine/enginehost.h
@@ -2,6 +2,7 @@
 
 #include "pomelofake/enginemodel.h"
 #include "pomelofake/httpreplies.h"
+#include "pomeloport/transport/httpclient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -37,7 +38,11 @@
 class EngineHost
 {
 public:
-    EngineHost(boost::asio::io_context &context, pomelofake::EngineModelSettings settings, HostFaults faults);
+    /// With a platform's address, weights are asked for at its weight store before they are loaded.
+    EngineHost(boost::asio::io_context &context,
+               pomelofake::EngineModelSettings settings,
+               HostFaults faults,
+               std::string platform);
 
     /// Answers one request.
     void handle(const pomelofake::ExchangePointer &exchange);
@@ -69,6 +74,7 @@
     void send(const pomelofake::ChunkOut &chunk);
     void send(const pomelofake::EndOut &end);
     void sample();
+    void askForWeights();
     const Published &published() const;
     bool happens(double share);
 
@@ -79,6 +85,10 @@
     std::map<std::string, std::uint64_t> m_counts;
     boost::asio::steady_timer m_stepTimer;
     boost::asio::steady_timer m_sampleTimer;
+    pomeloport::HttpClient m_client;
+    std::string m_platform;
+    bool m_askingForWeights = false;
+    std::uint64_t m_samples = 0;
     std::mt19937_64 m_random{1};
 };
 
--- a/src/fakeengine/main.cpp
+++ b/src/fakeengine/main.cpp
@@ -19,7 +19,9 @@
     auto add = options.add_options();
     add("listen", po::value<std::string>()->required(), "numeric address to serve on, IP:PORT");
     add("name", po::value(&settings.engine)->required(), "name of the engine");
-    add("platform", po::value<std::string>()->default_value(""), "address of the platform to register at");
+    add("platform",
+        po::value<std::string>()->default_value(""),
+        "address of the platform: list of instances and weight store");
     add("kv-tokens", po::value(&settings.kvTokens)->default_value(settings.kvTokens), "KV memory in tokens");
     add("prefix-tokens",
         po::value(&settings.prefixCacheTokens)->default_value(settings.prefixCacheTokens),
@@ -67,8 +69,10 @@
     }
     apply(*line.values, settings, faults);
     const auto name = settings.engine;
+    const auto platform = (*line.values)["platform"].as<std::string>();
+    settings.waitsForWeights = !platform.empty();
     boost::asio::io_context context(1);
-    fakeengine::EngineHost host(context, std::move(settings), faults);
+    fakeengine::EngineHost host(context, std::move(settings), faults, platform);
     const auto server = pomeloport::HttpServer::listen(context,
                                                        (*line.values)["listen"].as<std::string>(),
                                                        {},
--- a/src/include/pomelofake/enginemodel.h
+++ b/src/include/pomelofake/enginemodel.h
@@ -56,6 +56,8 @@
     std::vector<std::string> loaded;
     /// Time to bring one more item into memory.
     pomeloport::Duration loadTime = std::chrono::seconds(2);
+    /// Whether a load starts only once grantWeights() says that the weight store has granted the item.
+    bool waitsForWeights = false;
     EmissionMode emission = EmissionMode::EveryChunk;
 };
 
@@ -132,6 +134,12 @@
     /// new ones are loaded one after the other.
     std::optional<pomeloport::Refusal> order(const pomeloport::EngineOrder &order, pomeloport::Instant now);
 
+    /// The item whose weights are needed next and not granted yet; nothing without waitsForWeights.
+    std::optional<std::string> awaitedWeights() const;
+
+    /// Starts to load the awaited item, if it is still the one awaited.
+    void grantWeights(const std::string &item, pomeloport::Instant now);
+
     /// The role of the last order.
     const std::string &role() const;
 
@@ -176,6 +184,7 @@
     bool isLoaded(const pomeloport::GenerateCall &call) const;
     void catchUp(pomeloport::Instant now);
     void finishLoads(pomeloport::Instant now);
+    void startLoad(pomeloport::Instant at);
     void startStep(pomeloport::Instant at);
     void startQueued();
     void planPrefill();
--- a/src/libpomelofake/enginemodel_test.cpp
+++ b/src/libpomelofake/enginemodel_test.cpp
@@ -230,6 +230,24 @@
     CHECK(model.role() == (checks ? "short_only" : "general"));
 }
 
+TEST_CASE("engine model: an item is loaded only once the weight store has granted it")
+{
+    auto settings = settingsWithModel();
+    settings.waitsForWeights = true;
+    EngineModel model(settings);
+    REQUIRE_FALSE(model.order({1, {"ledger", "chat", "yard"}, "general"}, Start));
+    CHECK(model.awaitedWeights() == "chat");
+    model.advance(Start + seconds(60));
+    CHECK(model.loadReport(Start + seconds(60)).loaded == std::vector<std::string>{"ledger"});
+    model.grantWeights("yard", Start + seconds(60));
+    CHECK(model.awaitedWeights() == "chat");
+    model.grantWeights("chat", Start + seconds(60));
+    CHECK_FALSE(model.awaitedWeights());
+    model.advance(Start + seconds(62));
+    CHECK(model.loadReport(Start + seconds(62)).loaded == std::vector<std::string>{"ledger", "chat"});
+    CHECK(model.awaitedWeights() == "yard");
+}
+
 TEST_CASE("engine model: a killed engine holds nothing and restarts with a new epoch")
 {
     EngineModel model(settingsWithModel());
--- a/src/libpomelofake/enginestate.cpp
+++ b/src/libpomelofake/enginestate.cpp
@@ -77,6 +77,7 @@
     const auto isWanted = [&order](const std::string &item) {
         return std::ranges::find(order.load, item) != order.load.end();
     };
+    const auto loadingBefore = m_loading.empty() ? std::string() : m_loading.front();
     std::erase_if(m_loaded, [&isWanted](const std::string &item) { return !isWanted(item); });
     std::erase_if(m_loading, [&isWanted](const std::string &item) { return !isWanted(item); });
     for (const auto &item : order.load) {
@@ -86,20 +87,38 @@
             m_loading.push_back(item);
         }
     }
-    if (m_loading.empty()) {
-        m_loadEnds = Instant::max();
-    } else if (m_loadEnds == Instant::max()) {
-        m_loadEnds = now + m_settings.loadTime;
+    if (m_loading.empty() || m_loading.front() != loadingBefore) {
+        startLoad(now);
     }
     return std::nullopt;
 }
 
+void EngineModel::startLoad(Instant at)
+{
+    const bool starts = !m_loading.empty() && !m_settings.waitsForWeights;
+    m_loadEnds = starts ? at + m_settings.loadTime : Instant::max();
+}
+
 void EngineModel::finishLoads(Instant now)
 {
     while (!m_loading.empty() && m_loadEnds <= now) {
         m_loaded.push_back(std::move(m_loading.front()));
         m_loading.pop_front();
-        m_loadEnds = m_loading.empty() ? Instant::max() : m_loadEnds + m_settings.loadTime;
+        startLoad(m_loadEnds);
+    }
+}
+
+std::optional<std::string> EngineModel::awaitedWeights() const
+{
+    const bool awaits = m_alive && !m_loading.empty() && m_loadEnds == Instant::max();
+    return awaits ? std::optional(m_loading.front()) : std::nullopt;
+}
+
+void EngineModel::grantWeights(const std::string &item, Instant now)
+{
+    catchUp(now);
+    if (awaitedWeights() == item) {
+        m_loadEnds = now + m_settings.loadTime;
     }
 }
 
