--- a/src/include/pomeloport/coordination/circuitbreaker.h
+++ b/src/include/pomeloport/coordination/circuitbreaker.h
@@ -51,6 +51,7 @@
     Instant m_probeAt{};
     Instant m_recoveredAt{};
     bool m_recovered = false;
+    bool m_probing = false;
 };
 
 } // namespace pomeloport
--- a/src/include/pomeloport/coordination/inflightledger.h
+++ b/src/include/pomeloport/coordination/inflightledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pomeloport/clock.h"
+#include "pomeloport/protocol/enginemessages.h"
 #include "pomeloport/protocol/identity.h"
 
 #include <cstddef>
@@ -9,7 +10,6 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <utility>
 
 /// The books of one router about its own attempts: which stream holds how much of which backend server.
 namespace pomeloport {
@@ -22,8 +22,12 @@
     std::uint64_t prefillTokens = 0;
     /// KV memory held there, in tokens, at most.
     std::uint64_t kvTokens = 0;
-    bool bulk = false;
+    EnginePriority priority = EnginePriority::Normal;
     Instant openedAt{};
+    /// Empty-context tokens that had to be computed before the first chunk, its own and those ahead, as predicted.
+    double predictedTokens = 0;
+    /// Predicted time until the first chunk.
+    Duration predictedWait{};
     /// When the first chunk came; empty before.
     std::optional<Instant> firstChunkAt;
     /// When the latest chunk came.
@@ -42,11 +46,18 @@
     /// Bookings by stream.
     std::map<StreamAddress, Booking> bookings;
 
-    /// Returns the prompt tokens and streams of pending bookings opened after the given time.
-    std::pair<std::uint64_t, std::uint64_t> pendingSince(Instant time) const;
+    /// Sums over the bookings opened after a given time.
+    struct Recent
+    {
+        /// Prompt tokens of bookings without a first chunk, by whether their class is Bulk.
+        std::uint64_t promptTokens = 0;
+        std::uint64_t bulkTokens = 0;
+        std::uint64_t kvTokens = 0;
+    };
+    Recent openedAfter(Instant time) const;
 
-    /// Returns the KV memory of bookings opened after the given time, in tokens.
-    std::uint64_t kvTokensSince(Instant time) const;
+    /// Returns by how much the first chunk of the most overdue booking is late; bookings of class Bulk do not count.
+    Duration overdue(Instant now) const;
 };
 
 /// Keeps bookings by backend server and stream address. Not thread safe.
--- a/src/include/pomeloport/coordination/placement.h
+++ b/src/include/pomeloport/coordination/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pomeloport/clock.h"
+#include "pomeloport/coordination/placementpolicy.h"
 #include "pomeloport/coordination/requestflow.h"
 #include "pomeloport/coordination/route.h"
 #include "pomeloport/protocol/identity.h"
@@ -68,7 +69,7 @@
 {
 public:
     /// The seed drives the sampling of candidates; give each router another one.
-    explicit Placement(std::uint64_t seed);
+    explicit Placement(std::uint64_t seed, const PlacementPolicy &policy = {});
     ~Placement();
     Placement(const Placement &) = delete;
     Placement &operator=(const Placement &) = delete;
@@ -78,6 +79,7 @@
     void update(std::shared_ptr<const Snapshot> snapshot, Instant now);
 
     /// Chooses a place for an attempt, or says to wait, to reserve a group, or to fail. Usable as a RouteChooser.
+    /// The verdict of a failure speaks for this attempt alone: the caller raises it when an earlier one may have run.
     /// Fills the explanation where one is passed, which makes the call linear in the number of backend servers.
     /// A request that is told to wait is remembered by the address of its RequestSpec until a later choice for it
     /// ends otherwise, abandoned() is called, or its deadline passes.
@@ -111,6 +113,9 @@
     /// Attempts booked and not closed.
     std::size_t attemptsInFlight() const;
 
+    /// Backend servers that choices have examined since the start.
+    std::uint64_t candidatesExamined() const;
+
 private:
     struct Implementation;
     std::unique_ptr<Implementation> m_implementation;
--- a/src/libpomeloport/coordination/circuitbreaker.cpp
+++ b/src/libpomeloport/coordination/circuitbreaker.cpp
@@ -28,6 +28,7 @@
 void CircuitBreaker::sent(Instant now)
 {
     if (isOpen()) {
+        m_probing = true;
         m_probeAt = now + m_openTime;
     }
 }
@@ -37,6 +38,7 @@
     m_failures = 0;
     if (isOpen()) {
         m_openTime = Duration::zero();
+        m_probing = false;
         m_recovered = true;
         m_recoveredAt = now;
     }
@@ -50,8 +52,9 @@
     }
     ++m_failures;
     if (isOpen()) {
-        // Failures of attempts that were sent before the circuit opened say nothing new.
-        if (now >= m_probeAt - m_openTime + m_limits.firstOpenTime) {
+        // Attempts that were sent before the circuit opened say nothing new when they fail.
+        if (m_probing) {
+            m_probing = false;
             m_openTime = std::min(2 * m_openTime, m_limits.longestOpenTime);
             m_probeAt = now + m_openTime;
         }
--- a/src/libpomeloport/coordination/inflightledger.cpp
+++ b/src/libpomeloport/coordination/inflightledger.cpp
@@ -1,29 +1,35 @@
 #include "pomeloport/coordination/inflightledger.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace pomeloport {
 
-std::pair<std::uint64_t, std::uint64_t> BackendBooks::pendingSince(Instant time) const
+BackendBooks::Recent BackendBooks::openedAfter(Instant time) const
 {
-    std::uint64_t tokens = 0;
-    std::uint64_t count = 0;
+    Recent recent;
     for (const auto &[stream, booking] : bookings) {
-        if (booking.openedAt > time && !booking.firstChunkAt) {
+        if (booking.openedAt <= time) {
+            continue;
+        }
+        recent.kvTokens += booking.kvTokens;
+        if (!booking.firstChunkAt) {
+            auto &tokens = booking.priority == EnginePriority::Bulk ? recent.bulkTokens : recent.promptTokens;
             tokens += booking.prefillTokens;
-            ++count;
         }
     }
-    return {tokens, count};
+    return recent;
 }
 
-std::uint64_t BackendBooks::kvTokensSince(Instant time) const
+Duration BackendBooks::overdue(Instant now) const
 {
-    std::uint64_t tokens = 0;
+    Duration most{};
     for (const auto &[stream, booking] : bookings) {
-        if (booking.openedAt > time) {
-            tokens += booking.kvTokens;
+        if (!booking.firstChunkAt && booking.priority != EnginePriority::Bulk) {
+            most = std::max(most, now - booking.openedAt - booking.predictedWait);
         }
     }
-    return tokens;
+    return most;
 }
 
 void InFlightLedger::open(const StreamAddress &stream, const std::string &backend, Booking booking)
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -1,10 +1,13 @@
 #include "pomeloport/coordination/placement.h"
 
-#include "pomeloport/coordination/eligibility.h"
-#include "pomeloport/coordination/inflightledger.h"
+#include "fleetview.h"
+#include "pomeloport/coordination/fairshares.h"
+#include "pomeloport/coordination/retrybudget.h"
+#include "pomeloport/coordination/waitingline.h"
 
 #include <algorithm>
-#include <map>
+#include <cmath>
+#include <limits>
 #include <mutex>
 #include <numeric>
 #include <optional>
@@ -15,160 +18,364 @@
 
 namespace {
 
-// Engines examined for one request.
-constexpr std::size_t SampledCandidates = 2;
-// Rates of an engine that has not been measured yet.
-constexpr double DefaultPrefillTokensPerSecond = 20'000;
-constexpr Duration ServiceRetryDelay = std::chrono::milliseconds(50);
+constexpr std::size_t RememberedPrefixes = 4096;
+// Score of a candidate that does not fit into memory now; such engines are chosen last.
+constexpr double NoMemoryScore = 1e6;
+constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(200);
+constexpr Duration LongestRetryAfter = std::chrono::seconds(60);
+// Slack kept between the predicted finish and the deadline, as a part of the predicted service time.
+constexpr double DeadlineMargin = 0.25;
 
-Failure notRun(ReasonCode reason, std::string detail, std::optional<std::chrono::milliseconds> retryAfter = {})
+Failure notRun(ReasonCode reason, std::string detail, std::optional<Duration> retryAfter = {})
 {
-    return {Verdict::NotRun, reason, std::move(detail), retryAfter};
-}
-
-EnginePriority enginePriority(const RequestSpec &request)
-{
-    if (promptClass(request.promptTokens) >= PromptClass::Long) {
-        return EnginePriority::Bulk;
+    Failure failure{Verdict::NotRun, reason, std::move(detail), {}};
+    if (retryAfter) {
+        const auto bounded = std::clamp(*retryAfter, ShortestRetryAfter, LongestRetryAfter);
+        failure.retryAfter = std::chrono::ceil<std::chrono::milliseconds>(bounded);
     }
-    return request.priority == IntentPriority::Interactive ? EnginePriority::Urgent : EnginePriority::Normal;
+    return failure;
 }
 
 } // namespace
 
 struct Placement::Implementation
 {
-    explicit Implementation(std::uint64_t seed)
-        : m_random(seed)
+    struct Candidate
+    {
+        std::uint32_t backend = 0;
+        double score = std::numeric_limits<double>::infinity();
+        Exclusion exclusion = Exclusion::None;
+        detail::Prediction prediction;
+    };
+
+    Implementation(std::uint64_t seed, const PlacementPolicy &policy)
+        : m_policy(policy)
+        , m_fleet(m_policy)
+        , m_random(seed)
     {
     }
 
     RouteDecision choose(const RouteQuery &query, Instant now, RouteExplanation *explanation);
-    const std::vector<std::uint32_t> &pool(const RequestSpec &request);
-    std::optional<std::uint32_t> best(const RouteQuery &query, const std::vector<std::uint32_t> &members, Instant now);
-    double score(std::uint32_t index);
-    bool admissible(const RouteQuery &query, std::uint32_t index);
-    void explain(const RouteQuery &query, RouteExplanation &explanation);
+    RouteDecision chooseService(const RouteQuery &query, const detail::Pool &pool, Instant now);
+    RouteDecision chooseEngine(const RouteQuery &query, const detail::Pool &pool, Instant now);
+    RouteDecision dispatch(const RouteQuery &query, const Candidate &candidate, const LineEntry &entry, Instant now);
+    RouteDecision hold(const RouteQuery &query, const detail::Pool &pool, const LineEntry &entry, Instant now);
+    std::optional<Candidate> best(const RouteQuery &query, const detail::Pool &pool, Instant now);
+    Candidate examine(const RouteQuery &query, const detail::Pool &pool, std::uint32_t position, Instant now);
+    std::vector<std::uint32_t> sample(const RequestSpec &request, const detail::Pool &pool);
+    bool hasRoom(const Candidate &candidate, const RequestSpec &request) const;
+    LineEntry lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now);
+    EnginePriority priorityOf(const RequestSpec &request) const;
+    double shareWeight(const std::string &organisation) const;
+    std::size_t liveRouters() const;
+    void explain(const RouteQuery &query, const detail::Pool &pool, Instant now, RouteExplanation &explanation);
 
     mutable std::mutex m_mutex;
-    std::shared_ptr<const Snapshot> m_snapshot;
-    std::map<PoolKey, std::vector<std::uint32_t>> m_pools;
-    std::vector<const BackendBooks *> m_books;
-    InFlightLedger m_ledger;
+    const PlacementPolicy m_policy;
+    detail::FleetView m_fleet;
+    RecentPrefixes m_prefixes{RememberedPrefixes};
+    WaitingLine m_line;
+    DemandMeter m_demand;
+    FairShares m_shares;
+    RetryBudget m_retries;
     std::mt19937_64 m_random;
+    std::uint64_t m_examined = 0;
 };
 
 RouteDecision Placement::Implementation::choose(const RouteQuery &query, Instant now, RouteExplanation *explanation)
 {
     const auto &request = *query.request;
+    const auto *snapshot = m_fleet.snapshot();
     if (now >= request.deadline) {
+        m_line.remove(&request);
         return notRun(ReasonCode::DeadlinePassed, "the deadline has passed");
     }
-    if (!m_snapshot || !m_snapshot->admitting) {
+    if (snapshot == nullptr || !snapshot->admitting) {
         return notRun(ReasonCode::NotAdmitting, "the instance does not admit work now", std::chrono::seconds(1));
     }
+    const auto &pool = m_fleet.pool(request, now);
     if (explanation != nullptr) {
-        explain(query, *explanation);
+        explain(query, pool, now, *explanation);
     }
-    const auto &members = pool(request);
-    if (members.empty()) {
+    if (pool.members.empty()) {
+        m_line.remove(&request);
         return notRun(ReasonCode::NoBackend, "no live backend server fits the intent", std::chrono::seconds(1));
     }
-    const auto chosen = best(query, members, now);
-    if (!chosen) {
-        return WaitUntil{now + ServiceRetryDelay};
+    if (request.backendKind == BackendKind::Service) {
+        return chooseService(query, pool, now);
+    }
+    const auto needed = kvTokensOf(request);
+    if (needed > pool.totalKvTokens) {
+        return notRun(ReasonCode::PromptTooLarge, "no group of engines can hold the prompt");
+    }
+    if (needed > pool.largestKvTokens) {
+        return NeedsGroup{request.model, needed};
     }
-    RouteMember member{m_snapshot->backends[*chosen].server.name, 0, request.promptTokens};
-    return Route{{std::move(member)}, enginePriority(request), 0};
+    return chooseEngine(query, pool, now);
 }
 
-const std::vector<std::uint32_t> &Placement::Implementation::pool(const RequestSpec &request)
+RouteDecision Placement::Implementation::chooseService(const RouteQuery &query, const detail::Pool &pool, Instant now)
 {
-    auto key = poolKey(request);
-    const auto found = m_pools.find(key);
-    if (found != m_pools.end()) {
-        return found->second;
+    const auto candidate = best(query, pool, now);
+    if (!candidate) {
+        return WaitUntil{now + m_policy.holdInterval};
     }
-    auto members = poolMembers(key, *m_snapshot);
-    return m_pools.emplace(std::move(key), std::move(members)).first->second;
+    const auto &name = m_fleet.view(candidate->backend).server.name;
+    m_fleet.breaker(name).sent(now);
+    return Route{{{name, 0, query.request->promptTokens}}, EnginePriority::Normal, 0};
 }
 
-bool Placement::Implementation::admissible(const RouteQuery &query, std::uint32_t index)
+RouteDecision Placement::Implementation::chooseEngine(const RouteQuery &query, const detail::Pool &pool, Instant now)
 {
-    const auto &name = m_snapshot->backends[index].server.name;
-    return std::ranges::find(query.avoid, name) == query.avoid.end();
+    const auto &request = *query.request;
+    const auto candidate = best(query, pool, now);
+    if (!candidate) {
+        return WaitUntil{now + m_policy.holdInterval};
+    }
+    const auto entry = lineEntry(request, *candidate, now);
+    const bool known = m_line.contains(&request);
+    if (!known && query.attempt == 1) {
+        m_demand.arrived(entry, now);
+        m_retries.requestStarted();
+    }
+    if (entry.latestStart < now) {
+        m_line.remove(&request);
+        return notRun(ReasonCode::DeadlineUnreachable,
+                      "the answer would end after the deadline",
+                      fromSeconds(candidate->prediction.wait));
+    }
+    const bool urgent = WaitingLine::rank(entry, now) > 1e11;
+    const bool turn = !m_line.anyAbove(&request, entry, now);
+    if (turn && (hasRoom(*candidate, request) || (urgent && candidate->score < NoMemoryScore))) {
+        return dispatch(query, *candidate, entry, now);
+    }
+    return hold(query, pool, entry, now);
 }
 
-double Placement::Implementation::score(std::uint32_t index)
+RouteDecision Placement::Implementation::dispatch(const RouteQuery &query,
+                                                  const Candidate &candidate,
+                                                  const LineEntry &entry,
+                                                  Instant now)
 {
-    const auto &view = m_snapshot->backends[index];
-    const auto &books = *m_books[index];
-    if (view.server.kind == BackendKind::Service) {
-        return static_cast<double>(books.streams);
-    }
-    const auto [tokens, streams] = books.pendingSince(view.reportedAt);
-    const auto rate =
-        view.report.prefillTokensPerSecond > 0 ? view.report.prefillTokensPerSecond : DefaultPrefillTokensPerSecond;
-    return static_cast<double>(view.report.queuedPrefillTokens + tokens) / rate
-        + static_cast<double>(view.report.runningStreams + streams) * 1e-3;
+    const auto &request = *query.request;
+    const auto &name = m_fleet.view(candidate.backend).server.name;
+    m_line.remove(&request);
+    m_shares.used(request.organisation, shareWeight(request.organisation), entry.cost, now);
+    m_prefixes.sent(request.prefixBlocks, name);
+    m_fleet.breaker(name).sent(now);
+    return Route{{{name, 0, request.promptTokens}}, priorityOf(request), 0};
 }
 
-std::optional<std::uint32_t> Placement::Implementation::best(const RouteQuery &query,
-                                                             const std::vector<std::uint32_t> &members,
-                                                             Instant /*now*/)
+RouteDecision Placement::Implementation::hold(const RouteQuery &query,
+                                              const detail::Pool &pool,
+                                              const LineEntry &entry,
+                                              Instant now)
 {
-    std::optional<std::uint32_t> chosen;
-    double lowest = 0;
-    std::size_t examined = 0;
-    const auto start = m_random() % members.size();
-    // A stride coprime to the size visits every member once, in an order that differs from request to request.
-    std::size_t stride = 1 + m_random() % members.size();
-    while (std::gcd(stride, members.size()) != 1) {
-        ++stride;
+    const auto &request = *query.request;
+    m_line.dropStale(now);
+    const bool known = m_line.contains(&request);
+    if (!known && entry.kind == LineKind::Prompt) {
+        // One engine second per second and engine, shared by the routers, less what will arrive with more worth.
+        const auto capacity = static_cast<double>(pool.members.size()) / static_cast<double>(liveRouters());
+        const auto left = capacity - m_demand.rateAbove(entry.density, now);
+        const auto above = m_line.costAbove(&request, entry, now);
+        const auto wait = left > 0 ? above / left : std::numeric_limits<double>::max();
+        if (wait > seconds(entry.latestStart - now)) {
+            const auto retryAfter = std::min(wait, seconds(LongestRetryAfter));
+            return notRun(ReasonCode::Overloaded, "work of more worth fills the engines", fromSeconds(retryAfter));
+        }
     }
-    for (std::size_t step = 0; step < members.size() && examined < SampledCandidates; ++step) {
-        const auto index = members[(start + step * stride) % members.size()];
-        if (!admissible(query, index)) {
-            continue;
+    m_line.put(&request, entry);
+    const auto patience = std::max(Duration::zero(), entry.latestStart - now);
+    return WaitUntil{now + std::min(m_policy.holdInterval, std::max<Duration>(patience, std::chrono::milliseconds(5)))};
+}
+
+std::optional<Placement::Implementation::Candidate> Placement::Implementation::best(const RouteQuery &query,
+                                                                                    const detail::Pool &pool,
+                                                                                    Instant now)
+{
+    std::optional<Candidate> chosen;
+    const auto consider = [&](std::uint32_t position) {
+        auto candidate = examine(query, pool, position, now);
+        if (candidate.exclusion == Exclusion::None && (!chosen || candidate.score < chosen->score)) {
+            chosen = std::move(candidate);
         }
-        ++examined;
-        const auto candidate = score(index);
-        if (!chosen || candidate < lowest) {
-            chosen = index;
-            lowest = candidate;
+    };
+    for (const auto position : sample(*query.request, pool)) {
+        consider(position);
+    }
+    if (!chosen) {
+        // The sample met only excluded servers: look at all of them, from a random one on.
+        const auto start = m_random() % pool.members.size();
+        for (std::size_t step = 0; step < pool.members.size() && !chosen; ++step) {
+            consider(static_cast<std::uint32_t>((start + step) % pool.members.size()));
         }
     }
     return chosen;
 }
 
-void Placement::Implementation::explain(const RouteQuery &query, RouteExplanation &explanation)
+std::vector<std::uint32_t> Placement::Implementation::sample(const RequestSpec &request, const detail::Pool &pool)
 {
-    for (const auto index : pool(*query.request)) {
-        RouteCandidate candidate;
-        candidate.backend = m_snapshot->backends[index].server.name;
-        candidate.score = score(index);
-        candidate.exclusion = admissible(query, index) ? Exclusion::None : Exclusion::Avoided;
-        explanation.candidates.push_back(std::move(candidate));
+    const auto size = pool.members.size();
+    const bool huge = promptClass(request.promptTokens) == PromptClass::Huge;
+    const auto count = std::min(size, huge ? m_policy.hugeCandidates : m_policy.candidates);
+    std::vector<std::uint32_t> positions;
+    if (const auto anchor = anchorBlock(request.prefixBlocks)) {
+        positions = pool.ring.owners(*anchor, m_policy.prefixOwners);
+        if (const auto *server = m_prefixes.lastServer(request.prefixBlocks)) {
+            const auto found = pool.positions.find(*server);
+            if (found != pool.positions.end()) {
+                positions.push_back(found->second);
+            }
+        }
+    }
+    // A stride coprime to the size visits distinct members, in an order that differs from request to request.
+    const auto start = m_random() % size;
+    auto stride = 1 + m_random() % size;
+    while (std::gcd(stride, size) != 1) {
+        ++stride;
+    }
+    for (std::size_t step = 0; step < count; ++step) {
+        positions.push_back(static_cast<std::uint32_t>((start + step * stride) % size));
     }
+    return positions;
 }
 
-Placement::Placement(std::uint64_t seed)
-    : m_implementation(std::make_unique<Implementation>(seed))
+Placement::Implementation::Candidate Placement::Implementation::examine(const RouteQuery &query,
+                                                                        const detail::Pool &pool,
+                                                                        std::uint32_t position,
+                                                                        Instant now)
+{
+    const auto &request = *query.request;
+    ++m_examined;
+    Candidate candidate;
+    candidate.backend = pool.members[position];
+    const auto &server = m_fleet.view(candidate.backend).server;
+    const auto &breaker = m_fleet.breaker(candidate.backend);
+    if (std::ranges::find(query.avoid, server.name) != query.avoid.end()) {
+        candidate.exclusion = Exclusion::Avoided;
+        return candidate;
+    }
+    if (!breaker.permits(now)) {
+        candidate.exclusion = Exclusion::CircuitOpen;
+        return candidate;
+    }
+    if (server.kind == BackendKind::Service) {
+        candidate.score = static_cast<double>(m_fleet.books(candidate.backend).streams) / breaker.share(now);
+        return candidate;
+    }
+    const auto type = promptClass(request.promptTokens);
+    if (type == PromptClass::Huge && pool.shortOnly[position]) {
+        candidate.exclusion = Exclusion::ShortOnly;
+        return candidate;
+    }
+    if (kvTokensOf(request) > server.kvTokens) {
+        candidate.exclusion = Exclusion::NoMemory;
+        return candidate;
+    }
+    const auto priority = priorityOf(request);
+    candidate.prediction = m_fleet.predict(candidate.backend, request, priority, now);
+    const auto &prediction = candidate.prediction;
+    candidate.score = prediction.firstToken / breaker.share(now);
+    if (priority == EnginePriority::Urgent && prediction.mixed) {
+        candidate.score += m_policy.mixedStepPenalty;
+    }
+    if (priority != EnginePriority::Urgent && pool.shortOnly[position]) {
+        candidate.score += m_policy.shortOnlyPenalty * m_fleet.snapshot()->declarations.objective.shortSlowdownWeight;
+    }
+    // Fuller memory breaks ties and keeps room for larger prompts.
+    candidate.score += 0.05 / std::max(0.1, prediction.memoryFit);
+    if (prediction.memoryFit < 1) {
+        candidate.score += NoMemoryScore;
+    }
+    return candidate;
+}
+
+bool Placement::Implementation::hasRoom(const Candidate &candidate, const RequestSpec &request) const
+{
+    const auto &prediction = candidate.prediction;
+    if (prediction.memoryFit < 1) {
+        return false;
+    }
+    switch (priorityOf(request)) {
+    case EnginePriority::Urgent:
+        return prediction.wait <= seconds(m_policy.shortWaitLimit);
+    case EnginePriority::Normal:
+        return prediction.wait <= seconds(m_policy.promptWaitLimit);
+    case EnginePriority::Bulk:
+        break;
+    }
+    return prediction.bulkTokens <= m_policy.bulkQueueLimitTokens
+        && prediction.tokensAhead - prediction.bulkTokens <= m_policy.bulkQueueLimitTokens;
+}
+
+LineEntry Placement::Implementation::lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now)
+{
+    const auto &prediction = candidate.prediction;
+    const auto &server = m_fleet.view(candidate.backend).server;
+    const auto prefill = prediction.firstToken - prediction.wait;
+    const auto service = prediction.finish - prediction.wait;
+    const auto memory = service * static_cast<double>(kvTokensOf(request)) / static_cast<double>(server.kvTokens);
+    LineEntry entry;
+    entry.kind = priorityOf(request) == EnginePriority::Bulk ? LineKind::Bulk : LineKind::Prompt;
+    entry.cost = std::max(prefill, memory);
+    const auto standing = m_shares.standing(request.organisation, shareWeight(request.organisation), now);
+    entry.density = request.worth / entry.cost * standing;
+    entry.arrival = request.arrival;
+    entry.latestStart = request.deadline - fromSeconds(service * (1 + DeadlineMargin));
+    return entry;
+}
+
+EnginePriority Placement::Implementation::priorityOf(const RequestSpec &request) const
+{
+    const auto shortTokens = m_fleet.snapshot()->declarations.objective.shortPromptTokens;
+    if (request.promptTokens <= shortTokens) {
+        return request.priority == IntentPriority::Background ? EnginePriority::Normal : EnginePriority::Urgent;
+    }
+    const bool huge = promptClass(request.promptTokens) == PromptClass::Huge;
+    return huge || request.priority == IntentPriority::Background ? EnginePriority::Bulk : EnginePriority::Normal;
+}
+
+double Placement::Implementation::shareWeight(const std::string &organisation) const
+{
+    const auto &organisations = m_fleet.snapshot()->declarations.organisations;
+    const auto found = std::ranges::find(organisations, organisation, &Organisation::name);
+    return found == organisations.end() ? 1.0 : found->shareWeight;
+}
+
+std::size_t Placement::Implementation::liveRouters() const
+{
+    const auto alive = std::ranges::count(m_fleet.snapshot()->instances, InstanceState::Alive, &InstanceView::state);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(alive));
+}
+
+void Placement::Implementation::explain(const RouteQuery &query,
+                                        const detail::Pool &pool,
+                                        Instant now,
+                                        RouteExplanation &explanation)
+{
+    for (std::uint32_t position = 0; position < pool.members.size(); ++position) {
+        const auto candidate = examine(query, pool, position, now);
+        RouteCandidate shown;
+        shown.backend = m_fleet.view(candidate.backend).server.name;
+        shown.exclusion = candidate.exclusion;
+        shown.examined = true;
+        shown.score = candidate.exclusion == Exclusion::None ? candidate.score : 0;
+        explanation.candidates.push_back(std::move(shown));
+    }
+}
+
+Placement::Placement(std::uint64_t seed, const PlacementPolicy &policy)
+    : m_implementation(std::make_unique<Implementation>(seed, policy))
 {
 }
 
 Placement::~Placement() = default;
 
-void Placement::update(std::shared_ptr<const Snapshot> snapshot, Instant /*now*/)
+void Placement::update(std::shared_ptr<const Snapshot> snapshot, Instant now)
 {
     const std::lock_guard lock(m_implementation->m_mutex);
-    auto &self = *m_implementation;
-    self.m_pools.clear();
-    self.m_books.clear();
-    for (const auto &backend : snapshot->backends) {
-        self.m_books.push_back(&self.m_ledger.books(backend.server.name));
-    }
-    self.m_snapshot = std::move(snapshot);
+    m_implementation->m_fleet.update(std::move(snapshot), now);
 }
 
 RouteDecision Placement::choose(const RouteQuery &query, Instant now, RouteExplanation *explanation)
@@ -183,54 +390,98 @@
                               Instant now)
 {
     const std::lock_guard lock(m_implementation->m_mutex);
+    auto &self = *m_implementation;
     Booking booking;
     booking.organisation = request.organisation;
     booking.prefillTokens = member.segmentEnd - member.segmentBegin;
     booking.kvTokens = booking.prefillTokens + request.maxTokens;
-    booking.bulk = enginePriority(request) == EnginePriority::Bulk;
     booking.openedAt = now;
-    m_implementation->m_ledger.open(stream, member.backend, std::move(booking));
+    if (self.m_fleet.snapshot() != nullptr && request.backendKind == BackendKind::Engine) {
+        booking.priority = self.priorityOf(request);
+        if (const auto index = self.m_fleet.indexOf(member.backend)) {
+            const auto prediction = self.m_fleet.predict(*index, request, booking.priority, now);
+            booking.predictedTokens = prediction.tokensAhead + prediction.ownTokens;
+            booking.predictedWait = fromSeconds(prediction.firstToken);
+        }
+    }
+    self.m_fleet.ledger().open(stream, member.backend, std::move(booking));
 }
 
 void Placement::firstChunk(const StreamAddress &stream, const std::string &backend, Instant now)
 {
     const std::lock_guard lock(m_implementation->m_mutex);
-    m_implementation->m_ledger.firstChunk(stream, backend, now);
+    auto &fleet = m_implementation->m_fleet;
+    const auto *booking = fleet.ledger().firstChunk(stream, backend, now);
+    if (booking == nullptr) {
+        return;
+    }
+    fleet.breaker(backend).succeeded(now);
+    if (booking->priority != EnginePriority::Bulk) {
+        fleet.speed(backend).observeFirstChunk(booking->predictedTokens, now - booking->openedAt);
+    }
 }
 
 void Placement::nextChunk(const StreamAddress &stream, const std::string &backend, Instant now)
 {
     const std::lock_guard lock(m_implementation->m_mutex);
-    m_implementation->m_ledger.nextChunk(stream, backend, now);
+    auto &fleet = m_implementation->m_fleet;
+    if (const auto before = fleet.ledger().nextChunk(stream, backend, now)) {
+        fleet.speed(backend).observeChunkInterval(now - before->latestChunkAt);
+    }
 }
 
 void Placement::attemptClosed(const StreamAddress &stream,
                               const std::string &backend,
-                              action::CloseAttempt::Outcome /*outcome*/,
-                              Instant /*now*/)
+                              action::CloseAttempt::Outcome outcome,
+                              Instant now)
 {
     const std::lock_guard lock(m_implementation->m_mutex);
-    m_implementation->m_ledger.close(stream, backend);
+    auto &fleet = m_implementation->m_fleet;
+    if (!fleet.ledger().close(stream, backend)) {
+        return;
+    }
+    switch (outcome) {
+    case action::CloseAttempt::Outcome::Completed:
+        fleet.breaker(backend).succeeded(now);
+        break;
+    case action::CloseAttempt::Outcome::Refused:
+    case action::CloseAttempt::Outcome::Broken:
+        fleet.breaker(backend).failed(now);
+        break;
+    case action::CloseAttempt::Outcome::Abandoned:
+        break;
+    }
 }
 
-bool Placement::permitRetry(Instant /*now*/)
+bool Placement::permitRetry(Instant now)
 {
-    return true;
+    const std::lock_guard lock(m_implementation->m_mutex);
+    return m_implementation->m_retries.take(now);
 }
 
-const RequestSpec *Placement::nextWaiting(Instant /*now*/)
+const RequestSpec *Placement::nextWaiting(Instant now)
 {
-    return nullptr;
+    const std::lock_guard lock(m_implementation->m_mutex);
+    const auto *prompt = m_implementation->m_line.first(LineKind::Prompt, now);
+    return prompt != nullptr ? prompt : m_implementation->m_line.first(LineKind::Bulk, now);
 }
 
-void Placement::abandoned(const RequestSpec & /*request*/)
+void Placement::abandoned(const RequestSpec &request)
 {
+    const std::lock_guard lock(m_implementation->m_mutex);
+    m_implementation->m_line.remove(&request);
 }
 
 std::size_t Placement::attemptsInFlight() const
 {
     const std::lock_guard lock(m_implementation->m_mutex);
-    return m_implementation->m_ledger.size();
+    return m_implementation->m_fleet.ledger().size();
+}
+
+std::uint64_t Placement::candidatesExamined() const
+{
+    const std::lock_guard lock(m_implementation->m_mutex);
+    return m_implementation->m_examined;
 }
 
 } // namespace pomeloport
