--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -77,7 +77,9 @@
                std::vector<std::pair<std::string, std::string>> headers = {});
 
     /// Starts a reply in chunked encoding.
-    void beginStream(unsigned status, std::string contentType);
+    void beginStream(unsigned status,
+                     std::string contentType,
+                     std::vector<std::pair<std::string, std::string>> headers = {});
 
     /// Sends one piece of a streamed reply and reports whether it was handed to the network. Pieces written before that
     /// are kept in memory and sent together, so a sender with bounded memory waits for the callback. Empty pieces are
@@ -123,6 +125,9 @@
     /// Number of open connections.
     std::size_t connections() const;
 
+    /// Number of connections with a request whose reply the peer may not have received to its end.
+    std::size_t busyConnections() const;
+
     /// Sends "Connection: close" with every reply from now on.
     void closeAfterReply();
 
