Refuse for the deadline only by measured decode steps

An engine that had not reported a decode step yet was assumed to need 30 ms for each token, so that a request with a short deadline was refused before anything had been measured; the router's test of draining then waited for ever for its request to reach the engine. Assumed steps now count as memory cost only.

--- a/src/include/pomeloport/coordination/costmodel.h
+++ b/src/include/pomeloport/coordination/costmodel.h
@@ -48,12 +48,16 @@
     /// Seconds between two chunks of a stream.
     double decodeStepSeconds() const;
 
+    /// Whether decodeStepSeconds() rests on a report or an observation. Nothing should be refused on an assumption.
+    bool decodeMeasured() const;
+
 private:
     CostAssumptions m_assumptions;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_epoch = 0;
     double m_prefillTokensPerSecond;
     double m_decodeStepSeconds;
+    bool m_decodeMeasured = false;
     /// Observed duration over the duration predicted from the reports.
     double m_correction = 1;
 };
--- a/src/libpomeloport/coordination/costmodel.cpp
+++ b/src/libpomeloport/coordination/costmodel.cpp
@@ -58,6 +58,7 @@
     }
     if (report.decodeStepSeconds > 0) {
         m_decodeStepSeconds = blend(m_decodeStepSeconds, report.decodeStepSeconds, ReportWeight);
+        m_decodeMeasured = true;
     }
 }
 
@@ -74,6 +75,7 @@
 {
     if (elapsed > Duration::zero()) {
         m_decodeStepSeconds = blend(m_decodeStepSeconds, seconds(elapsed), IntervalWeight);
+        m_decodeMeasured = true;
     }
 }
 
@@ -87,4 +89,9 @@
     return m_decodeStepSeconds;
 }
 
+bool EngineSpeed::decodeMeasured() const
+{
+    return m_decodeMeasured;
+}
+
 } // namespace pomeloport
--- a/src/libpomeloport/coordination/fleetview.cpp
+++ b/src/libpomeloport/coordination/fleetview.cpp
@@ -130,7 +130,8 @@
     const auto overdue = std::max(0.0, seconds(books.overdue(now)));
     prediction.wait = std::max(speed.prefillSeconds(prediction.tokensAhead), overdue);
     prediction.firstToken = prediction.wait + speed.prefillSeconds(prediction.ownTokens);
-    prediction.finish = prediction.firstToken + static_cast<double>(request.maxTokens) * speed.decodeStepSeconds();
+    prediction.decode = static_cast<double>(request.maxTokens) * speed.decodeStepSeconds();
+    prediction.finish = prediction.firstToken + (speed.decodeMeasured() ? prediction.decode : 0);
 
     const auto total = static_cast<double>(std::max(view.server.kvTokens, report.kvTokensTotal));
     const auto limit = priority == EnginePriority::Bulk ? m_policy.bulkMemoryLimit : m_policy.memoryLimit;
--- a/src/libpomeloport/coordination/fleetview.h
+++ b/src/libpomeloport/coordination/fleetview.h
@@ -46,9 +46,11 @@
     /// Empty-context tokens that go before the request's own, and its own without the cached ones.
     double tokensAhead = 0;
     double ownTokens = 0;
-    /// Seconds before the request's own prefill starts, until its first token, and until its end.
+    /// Seconds before the request's own prefill starts, until its first token, and until its end. The end counts decode
+    /// steps only as far as they have been measured, because requests are refused by it.
     double wait = 0;
     double firstToken = 0;
+    double decode = 0;
     double finish = 0;
     /// Free KV memory over what the request needs; below 1 it does not fit.
     double memoryFit = 0;
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -315,7 +315,8 @@
     const auto &server = m_fleet.view(candidate.backend).server;
     const auto prefill = prediction.firstToken - prediction.wait;
     const auto service = prediction.finish - prediction.wait;
-    const auto memory = service * static_cast<double>(kvTokensOf(request)) / static_cast<double>(server.kvTokens);
+    const auto held = prefill + prediction.decode;
+    const auto memory = held * static_cast<double>(kvTokensOf(request)) / static_cast<double>(server.kvTokens);
     LineEntry entry;
     entry.kind = priorityOf(request) == EnginePriority::Bulk ? LineKind::Bulk : LineKind::Prompt;
     entry.cost = std::max(prefill, memory);
--- a/src/libpomeloport/coordination/placement_test.cpp
+++ b/src/libpomeloport/coordination/placement_test.cpp
@@ -94,3 +94,19 @@
     placement.attemptClosed(stream, "e1", action::CloseAttempt::Outcome::Broken, Instant{} + 1s);
     REQUIRE(placement.attemptsInFlight() == 0);
 }
+
+TEST_CASE("placement refuses for the deadline only by measured decode steps")
+{
+    auto request = shortRequest();
+    request.maxTokens = 100'000;
+    Placement unmeasured(1);
+    unmeasured.update(snapshotOf({engineView("e1", 0)}), Instant{});
+    REQUIRE(chosenBackend(unmeasured.choose({&request, 1, {}}, Instant{})) == "e1");
+    auto view = engineView("e1", 0);
+    view.report.decodeStepSeconds = 0.03;
+    Placement measured(1);
+    measured.update(snapshotOf({view}), Instant{});
+    const auto refused = measured.choose({&request, 1, {}}, Instant{});
+    REQUIRE(std::get<Failure>(refused).reason == ReasonCode::DeadlineUnreachable);
+    REQUIRE(std::get<Failure>(refused).verdict == Verdict::NotRun);
+}
