Refuse early only when a line is really there, and let long reviews yield at the crest

The forecast of a wait is now the cost of the line above over the capacity left, of which at least 15% counts. Prompts of class Huge wait for two fifths of their patience while shorter ones are held back, and memory is planned to 99%.

--- a/src/include/pomeloport/coordination/placementpolicy.h
+++ b/src/include/pomeloport/coordination/placementpolicy.h
@@ -23,16 +23,19 @@
     /// Queued prompt tokens of class Bulk above which an engine gets no further ones.
     double bulkQueueLimitTokens = 50'000;
     /// Part of an engine's KV memory that placement plans to fill.
-    double memoryLimit = 0.95;
+    double memoryLimit = 0.99;
     /// Part that requests of class Bulk may fill, which leaves room for others.
     double bulkMemoryLimit = 0.85;
+    /// Part of the time to its deadline for which a prompt of class Huge waits while shorter ones are held back.
+    double yieldPart = 0.4;
     /// Seconds added to the score of an engine that has prompts of other classes, for a short request.
     double mixedStepPenalty = 0.02;
     /// Seconds added to the score of a short-only engine, for a prompt that is not short, per unit of the objective's
     /// short-slowdown weight.
     double shortOnlyPenalty = 0.2;
-    /// How often held requests look for room without being woken.
+    /// How often the first held request of a line looks for room without being woken, and how often the others do.
     Duration holdInterval = std::chrono::milliseconds(50);
+    Duration idleHoldInterval = std::chrono::milliseconds(500);
     CostAssumptions cost;
 };
 
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -23,6 +23,8 @@
 constexpr double NoMemoryScore = 1e6;
 constexpr Duration ShortestRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration LongestRetryAfter = std::chrono::seconds(60);
+// Part of the capacity that counts as left for any work, because the forecast of demand is coarse.
+constexpr double LeastCapacityPart = 0.15;
 // Slack kept between the predicted finish and the deadline, as a part of the predicted service time.
 constexpr double DeadlineMargin = 0.25;
 
@@ -63,7 +65,8 @@
     std::optional<Candidate> best(const RouteQuery &query, const detail::Pool &pool, Instant now);
     Candidate examine(const RouteQuery &query, const detail::Pool &pool, std::uint32_t position, Instant now);
     std::vector<std::uint32_t> sample(const RequestSpec &request, const detail::Pool &pool);
-    bool hasRoom(const Candidate &candidate, const RequestSpec &request) const;
+    bool hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now);
+    bool yieldsToPrompts(const RequestSpec &request, Instant now);
     LineEntry lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now);
     EnginePriority priorityOf(const RequestSpec &request) const;
     double shareWeight(const std::string &organisation) const;
@@ -109,6 +112,9 @@
         return notRun(ReasonCode::PromptTooLarge, "no group of engines can hold the prompt");
     }
     if (needed > pool.largestKvTokens) {
+        if (yieldsToPrompts(request, now)) {
+            return WaitUntil{now + m_policy.idleHoldInterval};
+        }
         return NeedsGroup{request.model, needed};
     }
     return chooseEngine(query, pool, now);
@@ -146,7 +152,7 @@
     }
     const bool urgent = WaitingLine::rank(entry, now) > 1e11;
     const bool turn = !m_line.anyAbove(&request, entry, now);
-    if (turn && (hasRoom(*candidate, request) || (urgent && candidate->score < NoMemoryScore))) {
+    if (turn && (hasRoom(*candidate, request, now) || (urgent && candidate->score < NoMemoryScore))) {
         return dispatch(query, *candidate, entry, now);
     }
     return hold(query, pool, entry, now);
@@ -177,17 +183,18 @@
     if (!known && entry.kind == LineKind::Prompt) {
         // One engine second per second and engine, shared by the routers, less what will arrive with more worth.
         const auto capacity = static_cast<double>(pool.members.size()) / static_cast<double>(liveRouters());
-        const auto left = capacity - m_demand.rateAbove(entry.density, now);
-        const auto above = m_line.costAbove(&request, entry, now);
-        const auto wait = left > 0 ? above / left : std::numeric_limits<double>::max();
+        const auto left = std::max(LeastCapacityPart * capacity, capacity - m_demand.rateAbove(entry.density, now));
+        const auto wait = m_line.costAbove(&request, entry, now) / left;
         if (wait > seconds(entry.latestStart - now)) {
             const auto retryAfter = std::min(wait, seconds(LongestRetryAfter));
             return notRun(ReasonCode::Overloaded, "work of more worth fills the engines", fromSeconds(retryAfter));
         }
     }
     m_line.put(&request, entry);
-    const auto patience = std::max(Duration::zero(), entry.latestStart - now);
-    return WaitUntil{now + std::min(m_policy.holdInterval, std::max<Duration>(patience, std::chrono::milliseconds(5)))};
+    // The first of a line looks for room by itself; the others are woken when it is their turn.
+    const bool first = m_line.first(entry.kind, now) == &request;
+    const auto interval = first ? m_policy.holdInterval : m_policy.idleHoldInterval;
+    return WaitUntil{std::min(now + interval, std::max<Instant>(entry.latestStart, now + m_policy.holdInterval))};
 }
 
 std::optional<Placement::Implementation::Candidate> Placement::Implementation::best(const RouteQuery &query,
@@ -291,7 +298,7 @@
     return candidate;
 }
 
-bool Placement::Implementation::hasRoom(const Candidate &candidate, const RequestSpec &request) const
+bool Placement::Implementation::hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now)
 {
     const auto &prediction = candidate.prediction;
     if (prediction.memoryFit < 1) {
@@ -305,10 +312,17 @@
     case EnginePriority::Bulk:
         break;
     }
-    return prediction.bulkTokens <= m_policy.bulkQueueLimitTokens
+    return !yieldsToPrompts(request, now) && prediction.bulkTokens <= m_policy.bulkQueueLimitTokens
         && prediction.tokensAhead - prediction.bulkTokens <= m_policy.bulkQueueLimitTokens;
 }
 
+bool Placement::Implementation::yieldsToPrompts(const RequestSpec &request, Instant now)
+{
+    const auto patience = seconds(request.deadline - request.arrival);
+    const bool patient = seconds(now - request.arrival) < m_policy.yieldPart * patience;
+    return patient && m_line.first(LineKind::Prompt, now) != nullptr;
+}
+
 LineEntry Placement::Implementation::lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now)
 {
     const auto &prediction = candidate.prediction;
