--- a/src/benchdecisions/cluster.cpp
+++ b/src/benchdecisions/cluster.cpp
@@ -53,7 +53,7 @@
     snapshot->admitting = true;
     snapshot->region = "region";
     snapshot->declarations.objective = m_deployment.objective;
-    for (std::size_t router = 0; router < m_deployment.routers; ++router) {
+    for (std::size_t router = 0; router < m_routers.size(); ++router) {
         InstanceView instance;
         instance.id.instance = "entry-";
         instance.id.instance += std::to_string(router);
