Test the policy modules of the placement

Covers the circuit breaker's probes and slow start, the retry budget's share, fair shares, learning of a slowed and of a restarted engine, the affinity ring, cached prefixes with gaps, the short-only share's hysteresis, and the waiting line's order and ageing.

--- /dev/null
+++ b/src/libpomeloport/coordination/policymodules_test.cpp
@@ -0,0 +1,163 @@
+#include "pomeloport/coordination/circuitbreaker.h"
+#include "pomeloport/coordination/costmodel.h"
+#include "pomeloport/coordination/fairshares.h"
+#include "pomeloport/coordination/isolation.h"
+#include "pomeloport/coordination/prefixaffinity.h"
+#include "pomeloport/coordination/retrybudget.h"
+#include "pomeloport/coordination/waitingline.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloport;
+using namespace std::chrono_literals;
+
+TEST_CASE("a circuit opens on repeated failures, probes at growing intervals and recovers slowly")
+{
+    CircuitBreaker breaker;
+    auto now = Instant{} + 10s;
+    breaker.failed(now);
+    REQUIRE(breaker.permits(now));
+    breaker.failed(now);
+    REQUIRE_FALSE(breaker.permits(now));
+    now += 500ms;
+    REQUIRE(breaker.permits(now));
+    breaker.sent(now);
+    REQUIRE_FALSE(breaker.permits(now));
+    breaker.failed(now + 1ms);
+    REQUIRE_FALSE(breaker.permits(now + 900ms));
+    now += 1001ms;
+    breaker.sent(now);
+    breaker.succeeded(now);
+    REQUIRE(breaker.permits(now));
+    REQUIRE(breaker.share(now) < 0.2);
+    REQUIRE(breaker.share(now + 10s) == 1);
+}
+
+TEST_CASE("the retry budget keeps retries a small part of the requests")
+{
+    RetryBudget budget;
+    int permitted = 0;
+    for (int request = 0; request < 10'000; ++request) {
+        budget.requestStarted();
+        permitted += budget.take(Instant{}) ? 1 : 0;
+    }
+    REQUIRE(permitted <= 10'000 * 0.1);
+    REQUIRE(permitted > 0);
+}
+
+TEST_CASE("an organisation above its fair share stands lower than the others")
+{
+    FairShares shares;
+    for (int second = 0; second < 30; ++second) {
+        const auto now = Instant{} + second * 1s;
+        shares.used("large", 1, 9, now);
+        shares.used("small", 1, 1, now);
+    }
+    const auto now = Instant{} + 30s;
+    REQUIRE(shares.standing("small", 1, now) == 1);
+    REQUIRE(shares.standing("large", 1, now) == Approx(5.0 / 9).epsilon(0.02));
+    REQUIRE(shares.standing("unknown", 1, now) == 1);
+}
+
+TEST_CASE("engine speed follows an engine that slows to a tenth and one that restarts")
+{
+    EngineSpeed speed;
+    LoadReport report;
+    report.epoch = 1;
+    report.prefillTokensPerSecond = 100'000;
+    for (report.sequence = 1; report.sequence <= 10; ++report.sequence) {
+        speed.observeReport(report);
+    }
+    const auto before = speed.prefillSeconds(10'000);
+    report.prefillTokensPerSecond = 10'000;
+    for (; report.sequence <= 15; ++report.sequence) {
+        speed.observeReport(report);
+    }
+    REQUIRE(speed.prefillSeconds(10'000) > 8 * before);
+    const auto slow = speed.prefillSeconds(10'000);
+    report.sequence = 3;
+    report.prefillTokensPerSecond = 100'000;
+    speed.observeReport(report);
+    REQUIRE(speed.prefillSeconds(10'000) == slow);
+    report.epoch = 2;
+    speed.observeReport(report);
+    REQUIRE(speed.prefillSeconds(10'000) < 2 * before);
+}
+
+TEST_CASE("the affinity ring names distinct owners and keeps them when another member leaves")
+{
+    const AffinityRing all({"a", "b", "c", "d"});
+    const AffinityRing fewer({"a", "b", "c"});
+    for (std::uint64_t key = 1; key < 200; ++key) {
+        const auto spread = key * 0x9e3779b97f4a7c15ULL;
+        const auto owners = all.owners(spread, 2);
+        REQUIRE(owners.size() == 2);
+        REQUIRE(owners[0] != owners[1]);
+        if (owners[0] != 3) {
+            REQUIRE(fewer.owners(spread, 1)[0] == owners[0]);
+        }
+    }
+    REQUIRE(AffinityRing({}).owners(1, 2).empty());
+}
+
+TEST_CASE("cached blocks count as a prefix, and a gap in the events only shortens it")
+{
+    const std::vector<std::uint64_t> blocks{1, 2, 3, 4, 5, 6, 7, 8};
+    REQUIRE(cachedLeadingBlocks(blocks, {1, 2, 3, 4, 5}) == 5);
+    REQUIRE(cachedLeadingBlocks(blocks, {}) == 0);
+    REQUIRE(cachedLeadingBlocks(blocks, {1, 2, 4, 5}) <= 5);
+    REQUIRE(anchorBlock({1, 2, 3, 4, 5}) == 4);
+    RecentPrefixes recent(3);
+    recent.sent(blocks, "e1");
+    REQUIRE(*recent.lastServer(blocks) == "e1");
+    recent.sent({11, 12}, "e2");
+    recent.sent({21, 22}, "e3");
+    recent.sent({31, 32}, "e4");
+    REQUIRE(recent.lastServer(blocks) == nullptr);
+}
+
+TEST_CASE("the short-only share follows the demand for long work one engine at a time")
+{
+    ShortOnlyShare share;
+    auto now = Instant{} + 1s;
+    REQUIRE(share.observe(20, 16, 0.25, now) == 5);
+    std::size_t before = 5;
+    for (int step = 0; step < 600; ++step) {
+        now += 100ms;
+        const auto count = share.observe(20, 0, 0.25, now);
+        REQUIRE(count >= before);
+        REQUIRE(count <= before + 1);
+        before = count;
+    }
+    REQUIRE(before > 10);
+    for (int step = 0; step < 1'200; ++step) {
+        now += 100ms;
+        before = share.observe(20, 20, 0.25, now);
+    }
+    REQUIRE(before == 5);
+    // A demand that swings faster than the settle time changes nothing.
+    for (int step = 0; step < 300; ++step) {
+        now += 100ms;
+        REQUIRE(share.observe(20, step % 20 < 10 ? 0 : 20, 0.25, now) == 5);
+    }
+}
+
+TEST_CASE("the waiting line prefers worth per cost, until a long review must start")
+{
+    WaitingLine line;
+    RequestSpec cheap;
+    RequestSpec dear;
+    RequestSpec old;
+    const auto now = Instant{} + 100s;
+    line.put(&cheap, {LineKind::Bulk, 10, 1, now, now + 600s, 0});
+    line.put(&dear, {LineKind::Bulk, 1, 10, now, now + 600s, 0});
+    REQUIRE(line.first(LineKind::Bulk, now) == &cheap);
+    line.put(&old, {LineKind::Bulk, 0.1, 10, now - 500s, now + 1s, 0});
+    REQUIRE(line.first(LineKind::Bulk, now) == &old);
+    REQUIRE(line.first(LineKind::Prompt, now) == nullptr);
+    REQUIRE(line.costAbove(&dear, {LineKind::Bulk, 1, 10, now, now + 600s, 0}, now) == Approx(11));
+    line.remove(&old);
+    REQUIRE(line.first(LineKind::Bulk, now) == &cheap);
+    line.remove(&cheap);
+    REQUIRE(line.first(LineKind::Bulk, now) == &dear);
+}
