--- a/src/libpomelofake/trace.cpp
+++ b/src/libpomelofake/trace.cpp
@@ -63,9 +63,10 @@
     return std::discrete_distribution<std::size_t>(weights.begin(), weights.end())(random);
 }
 
+/// The class with the most time, which is that of the longest prompts also where the lengths are cut.
 std::size_t longestClass(const std::vector<TraceClass> &classes)
 {
-    const auto longest = std::ranges::max_element(classes, {}, &TraceClass::maximumPromptTokens);
+    const auto longest = std::ranges::max_element(classes, {}, &TraceClass::deadline);
     return static_cast<std::size_t>(longest - classes.begin());
 }
 
--- a/testsuite/lib/cluster.sh
+++ b/testsuite/lib/cluster.sh
@@ -11,6 +11,8 @@
 WORK=$(mktemp -d "${TMPDIR:-/tmp}/pomeloport.XXXXXX")
 declare -A PIDS=()
 trap cluster_end EXIT
+trap "exit 130" INT
+trap "exit 143" TERM
 
 # Ends every process that is still running, first by SIGTERM, after two seconds by SIGKILL.
 cluster_end() {
@@ -159,3 +161,149 @@
         done
     } >"$file"
 }
+
+# write_instance_settings NUMBER COUNT: writes the settings of a router and of its controller.
+write_instance_settings() {
+    local number=$1 host=$NET.3.$1 seed seeds
+    for seed in 1 2 3; do
+        [ "$seed" -gt "$2" ] || seeds="${seeds:+$seeds, }$NET.3.$seed:8083"
+    done
+    cat >"$WORK/router-$number.yaml" <<END
+instance: instance-$number
+region: queensland
+failure_domain: $(domain_of "$number")
+listen: $host:8080
+controller: $host:8081
+platform: $PLATFORM
+shared_key: $SHARED_KEY
+operator_token: $OPERATOR_TOKEN
+threads: 2
+END
+    cat >"$WORK/controller-$number.yaml" <<END
+instance: instance-$number
+region: queensland
+failure_domain: $(domain_of "$number")
+listen: $host:8081
+router: $host:8080
+peers: $host:8082
+datagrams: $host:8083
+seeds: [$seeds]
+platform: $PLATFORM
+shared_key: $SHARED_KEY
+sweep_interval: 1s
+END
+}
+
+# start_instance NUMBER COUNT: starts one of COUNT instances.
+start_instance() {
+    write_instance_settings "$1" "$2"
+    start "controller-$1" "$BIN/pomelo-controller" --settings "$WORK/controller-$1.yaml"
+    start "router-$1" "$BIN/pomelo-router" --settings "$WORK/router-$1.yaml"
+}
+
+# ctl COMMAND...: runs pomeloctl against the instances that run.
+ctl() {
+    local command=$1 name endpoints=()
+    shift
+    for name in "${!PIDS[@]}"; do
+        case "$name" in router-*) endpoints+=(--endpoint "$(router_address "${name#router-}")") ;; esac
+    done
+    "$BIN/pomeloctl" "$command" "$@" --platform "$PLATFORM" "${endpoints[@]}" --operator-token "$OPERATOR_TOKEN"
+}
+
+is_ready() {
+    curl -sf --max-time 1 "http://$(router_address "$1")/readyz"
+}
+
+# Succeeds when instance 1 counts this many instances as alive.
+sees_instances() {
+    curl -sf --max-time 1 -H "Authorization: Bearer $OPERATOR_TOKEN" \
+        "http://$(router_address 1)/v1/operator/status" | python3 -c '
+import json, sys
+alive = [i for i in json.load(sys.stdin)["instances"] if i["state"] == "alive"]
+sys.exit(0 if len(alive) == int(sys.argv[1]) else 1)' "$1"
+}
+
+# tokens_held_by ADDRESS...: prints the KV memory that these engines hold by their own books.
+tokens_held_by() {
+    local address
+    for address in "$@"; do
+        curl -sf --max-time 2 "http://$address/v1/holdings" || echo '{"holdings": [{"tokens": 1000000000}]}'
+        echo
+    done | python3 -c '
+import json, sys
+print(sum(h["tokens"] for line in sys.stdin if line.strip() for h in json.loads(line)["holdings"]))'
+}
+
+# request NUMBER ORGANISATION BODY [CURL OPTION...]: posts a request to the router of an instance.
+request() {
+    local number=$1 organisation=$2 body=$3
+    shift 3
+    curl -s --max-time 30 -H "Authorization: Bearer token-$organisation" "$@" --data-binary "$body" \
+        "http://$(router_address "$number")/v1/requests"
+}
+
+now_ms() {
+    date +%s%3N
+}
+
+# action_body KEY ISSUED_AT TEXT: the body of a non-idempotent request.
+action_body() {
+    printf '{"kind":"issue_credit","prompt":"%s","max_tokens":1,"deadline_ms":%s,"non_idempotent":true,%s}' "$3" \
+        "${DEADLINE_MS:-5000}" "\"idempotency_key\":\"$1\",\"issued_at_ms\":$2"
+}
+
+# runs_of KEY SERVICES: prints how often the services ran an action.
+runs_of() {
+    local i
+    for i in $(seq "$2"); do
+        curl -sf "http://$(service_address "$i")/runs"
+        echo
+    done | python3 -c '
+import json, sys
+print(sum(json.loads(line)["runs"].get(sys.argv[1], 0) for line in sys.stdin if line.strip()))' "$1"
+}
+
+# Prints the fields named on the command line from the JSON object on standard input, one line.
+fields() {
+    python3 -c '
+import json, sys
+text = sys.stdin.read()
+try:
+    body = json.loads(text)
+    print(" ".join(f"{key}={body[key]}" for key in sys.argv[1:] if key in body))
+except ValueError:
+    print("not JSON:", text[:200])' "$@"
+}
+
+# start_system ENGINES SERVICES INSTANCES: starts a whole small system and waits until it admits work.
+start_system() {
+    local engines=$1 services=$2 instances=$3 i
+    write_declarations "$WORK/before.yaml" "$engines" "$services" 1
+    write_declarations "$WORK/after.yaml" "$engines" "$services" 2
+    start_platform
+    for i in $(seq "$engines"); do
+        start_engine "$i"
+    done
+    for i in $(seq "$services"); do
+        start_service "$i"
+    done
+    "$BIN/pomeloctl" apply "$WORK/before.yaml" --platform "$PLATFORM" >/dev/null
+    for i in $(seq "$instances"); do
+        start_instance "$i" "$instances"
+    done
+    for i in $(seq "$instances"); do
+        wait_until 15 is_ready "$i" || die "instance $i is not ready"
+    done
+    wait_until 15 sees_instances "$instances" || die "the instances do not see each other"
+}
+
+die() {
+    echo "failed: $*" >&2
+    exit 1
+}
+
+# Compares standard input with the expected output beside the case.
+expect() {
+    diff -u "$(dirname "${BASH_SOURCE[1]}")/expected.txt" - || die "the output differs from expected.txt"
+}
