Measure the control decisions at 9, 90 and 370 nodes and keep them in bounds

Cause: a node may spend 19 KB/s, 1.1% of a core and 64 MB on control, and a change has 3 s. Long declarations are stored compressed; readings of backend servers and load reports take longer intervals in larger regions; news of a version goes through the failure domain first (path locality and convergence).

--- a/src/include/pomelofake/controlnetwork.h
+++ b/src/include/pomelofake/controlnetwork.h
@@ -50,7 +50,10 @@
     std::uint64_t configBytes = 0;
     /// Of the config bytes: those that left the failure domain.
     std::uint64_t configBytesAcross = 0;
+    /// Whole configurations read from peers and from the store, with their bytes.
     std::uint64_t fetches = 0;
+    std::uint64_t fetchBytes = 0;
+    std::uint64_t storeBytes = 0;
 };
 
 /// A fleet of control planes.
@@ -114,6 +117,12 @@
         return m_platform;
     }
 
+    /// Time that the decision code of all nodes has used on this machine.
+    std::chrono::nanoseconds busy() const
+    {
+        return m_busy;
+    }
+
     /// Calls of the store so far, a waiting watch counted as one.
     std::uint64_t storeCalls() const;
 
@@ -157,6 +166,7 @@
     std::uint64_t m_incarnations = 1'700'000'000'000;
     std::uint64_t m_configVersion = 0;
     std::uint64_t m_edits = 0;
+    std::chrono::nanoseconds m_busy{};
 };
 
 } // namespace pomelofake
--- a/src/include/pomeloport/coordination/backendtable.h
+++ b/src/include/pomeloport/coordination/backendtable.h
@@ -20,7 +20,8 @@
 class BackendTable
 {
 public:
-    explicit BackendTable(OwnerId self);
+    /// Keeps the servers of one region, and those declared without a region.
+    BackendTable(OwnerId self, std::string region);
 
     /// Replaces the declarations. Reports of servers that stay are kept.
     void setDeclarations(const Declarations &declarations);
@@ -43,6 +44,9 @@
     /// Takes what the home of other servers reports.
     void heard(const control::InstanceReport &report, Instant madeAt);
 
+    /// All declared servers of the region.
+    std::vector<BackendServer> servers() const;
+
     /// Servers whose home this instance is.
     std::vector<BackendServer> homeServers() const;
 
@@ -73,6 +77,7 @@
     void expand(Entry &entry, const control::EngineLoad &load) const;
 
     OwnerId m_self;
+    std::string m_region;
     std::map<std::string, Entry> m_entries;
     std::map<std::uint32_t, std::string> m_byHash;
     /// Sorted names of everything that the declarations ask engines to load.
--- a/src/include/pomeloport/coordination/configpatch.h
+++ b/src/include/pomeloport/coordination/configpatch.h
@@ -37,7 +37,8 @@
 /// Most tokens kept in ConfigObject::earlier.
 constexpr std::size_t MaximumEarlierTokens = 32;
 
-/// Writes the object as JSON.
+/// Writes the object as JSON: "token", "earlier", and the declarations as "yaml", or, when they are long, deflated and
+/// in base64 as "yaml_deflate".
 std::string encode(const ConfigObject &object);
 
 /// Parses the output of encode(). Returns nothing, with a last reason, for malformed text.
--- a/src/include/pomeloport/coordination/configspread.h
+++ b/src/include/pomeloport/coordination/configspread.h
@@ -21,7 +21,8 @@
 enum class SpreadPolicy {
     /// To random peers of the region.
     Random,
-    /// To peers of the own failure domain, and by one instance of each domain to one of each other domain.
+    /// To peers of the own failure domain, and by one instance of each domain to one of each other domain: the path
+    /// locality and path convergence of P. Yalagandula and M. Dahlin, "Administrative Autonomy in Structured Overlays".
     DomainFirst,
 };
 
@@ -38,7 +39,7 @@
     std::uint32_t watchersPerDomain = 2;
     /// Peers told of a new version in each of two rounds.
     std::uint32_t fanout = 3;
-    SpreadPolicy policy = SpreadPolicy::Random;
+    SpreadPolicy policy = SpreadPolicy::DomainFirst;
     /// Time between the two rounds.
     Duration roundDelay = std::chrono::milliseconds(250);
     /// Fresh instances that expect peers spread their first call of the store over this time.
--- a/src/include/pomeloport/coordination/loadspread.h
+++ b/src/include/pomeloport/coordination/loadspread.h
@@ -22,7 +22,7 @@
     /// Least time of a round, in small regions.
     Duration shortestRound = std::chrono::milliseconds(250);
     /// Bytes that one instance may send each second on average; large regions take longer rounds to keep to it.
-    std::uint32_t bytesPerSecond = 5'000;
+    std::uint32_t bytesPerSecond = 3'500;
     /// Reports older than this are dropped.
     Duration retention = std::chrono::seconds(30);
 };
--- a/src/libpomelofake/controlnetwork.cpp
+++ b/src/libpomelofake/controlnetwork.cpp
@@ -28,6 +28,17 @@
         || std::holds_alternative<control::ConfigPull>(message);
 }
 
+/// Bytes of a call of the store and its reply, with HTTP, TCP and IP headers.
+std::size_t storeBytesOf(const StoreReply &reply)
+{
+    constexpr std::size_t HeaderBytes = 600;
+    std::size_t bytes = HeaderBytes;
+    for (const auto &object : reply.objects) {
+        bytes += object.value.size();
+    }
+    return bytes;
+}
+
 PlatformModelSettings platformSettings()
 {
     PlatformModelSettings settings;
@@ -74,6 +85,7 @@
         } else if (const auto caller = m_tickets.find(answered); caller != m_tickets.end()) {
             auto copy = reply;
             copy.id = caller->second.id;
+            m_nodes[caller->second.index].traffic.storeBytes += storeBytesOf(reply);
             deliver(caller->second.index, m_settings.storeDelay / 2, configspread::StoreAnswered{copy}, 0);
             m_tickets.erase(caller);
         }
@@ -171,7 +183,10 @@
 void ControlNetwork::feed(std::size_t index, const ControlEvent &event)
 {
     auto &node = m_nodes[index];
-    for (const auto &action : node.plane->handle(event, m_now)) {
+    const auto begin = std::chrono::steady_clock::now();
+    const auto actions = node.plane->handle(event, m_now);
+    m_busy += std::chrono::steady_clock::now() - begin;
+    for (const auto &action : actions) {
         if (const auto *message = std::get_if<controlaction::Send>(&action)) {
             send(index, message->address, message->message);
         } else if (const auto *call = std::get_if<configspread::CallStore>(&action)) {
@@ -241,6 +256,7 @@
         m_tickets.erase(caller);
         const auto &node = m_nodes[index];
         if (node.running && node.reachesStore && node.record.id.incarnation == incarnation) {
+            m_nodes[index].traffic.storeBytes += storeBytesOf(reply);
             reply.id = id;
             deliver(index, m_settings.storeDelay, configspread::StoreAnswered{reply}, 0);
         }
@@ -258,6 +274,8 @@
         return;
     }
     const auto &config = peer->plane->config();
+    m_nodes[index].traffic.fetchBytes += config.yaml()->size();
+    peer->traffic.fetchBytes += config.yaml()->size();
     deliver(
         index, m_settings.nearDelay * 4, configspread::Fetched{config.version(), config.token(), *config.yaml()}, 0);
 }
--- a/src/libpomeloport/coordination/backendtable.cpp
+++ b/src/libpomeloport/coordination/backendtable.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-BackendTable::BackendTable(OwnerId self)
+BackendTable::BackendTable(OwnerId self, std::string region)
     : m_self(std::move(self))
+    , m_region(std::move(region))
 {
 }
 
@@ -41,6 +42,9 @@
     std::set<std::string> names;
     m_byHash.clear();
     for (const auto &server : declarations.backends) {
+        if (!server.region.empty() && server.region != m_region) {
+            continue;
+        }
         auto &entry = m_entries[server.name];
         const auto known = before.find(server.name);
         if (known != before.end() && known->second.server.address == server.address) {
@@ -177,6 +181,15 @@
     return detail::nameHash(name);
 }
 
+std::vector<BackendServer> BackendTable::servers() const
+{
+    std::vector<BackendServer> result;
+    for (const auto &[name, entry] : m_entries) {
+        result.push_back(entry.server);
+    }
+    return result;
+}
+
 std::vector<BackendServer> BackendTable::homeServers() const
 {
     std::vector<BackendServer> result;
--- a/src/libpomeloport/coordination/backendtable_test.cpp
+++ b/src/libpomeloport/coordination/backendtable_test.cpp
@@ -19,6 +19,10 @@
         server.load = {"ledger@1", "yard@2"};
         declarations.backends.push_back(server);
     }
+    BackendServer elsewhere;
+    elsewhere.name = "engine-3";
+    elsewhere.region = "western";
+    declarations.backends.push_back(elsewhere);
     return declarations;
 }
 
@@ -48,8 +52,8 @@
 
 TEST_CASE("reports travel from an engine's home to the other instances")
 {
-    BackendTable home({"entry-1", 1});
-    BackendTable other({"entry-2", 1});
+    BackendTable home({"entry-1", 1}, "queensland");
+    BackendTable other({"entry-2", 1}, "queensland");
     for (auto *table : {&home, &other}) {
         table->setDeclarations(twoEngines());
         table->setInstances({instance("entry-1")});
@@ -72,7 +76,7 @@
 
 TEST_CASE("a server leaves by list or by its own report, and is gone when it does not answer")
 {
-    BackendTable table({"entry-1", 1});
+    BackendTable table({"entry-1", 1}, "queensland");
     table.setDeclarations(twoEngines());
     table.setInstances({instance("entry-1")});
     table.setListedLeaving({BackendTable::listedName("engine-1")});
@@ -89,7 +93,7 @@
         table.unreachable("engine-1");
     }
     CHECK(table.views(Start).at(0).state == BackendState::Gone);
-    BackendTable other({"entry-2", 1});
+    BackendTable other({"entry-2", 1}, "queensland");
     other.setDeclarations(twoEngines());
     other.setInstances({instance("entry-1")});
     control::InstanceReport report;
--- a/src/libpomeloport/coordination/configpatch.cpp
+++ b/src/libpomeloport/coordination/configpatch.cpp
@@ -1,5 +1,7 @@
 #include "pomeloport/coordination/configpatch.h"
 
+#include "compressedtext.h"
+
 #include "../protocol/jsonfields.h"
 
 #include "pomeloport/lastreason.h"
@@ -11,6 +13,9 @@
 
 namespace {
 
+/// Longer declarations are stored compressed, for the store's limit on values and for the watchers' traffic.
+constexpr std::size_t LongestPlainText = 16 * 1024;
+
 std::size_t commonPrefix(std::string_view left, std::string_view right)
 {
     const auto [first, second] = std::ranges::mismatch(left, right);
@@ -61,7 +66,11 @@
 {
     boost::json::object result;
     result["token"] = object.token;
-    result["yaml"] = object.yaml;
+    if (object.yaml.size() > LongestPlainText) {
+        result["yaml_deflate"] = detail::compressText(object.yaml);
+    } else {
+        result["yaml"] = object.yaml;
+    }
     boost::json::array earlier;
     for (const auto &token : object.earlier) {
         earlier.emplace_back(token);
@@ -75,7 +84,15 @@
     detail::JsonReader reader(json);
     ConfigObject object;
     object.token = reader.text("token", true);
-    object.yaml = reader.text("yaml", true);
+    if (reader.find("yaml_deflate")) {
+        auto yaml = detail::expandText(reader.text("yaml_deflate"));
+        if (!yaml) {
+            reader.fail("yaml_deflate cannot be expanded");
+        }
+        object.yaml = std::move(yaml).value_or(std::string{});
+    } else {
+        object.yaml = reader.text("yaml", true);
+    }
     object.earlier = reader.texts("earlier");
     return reader.ok() ? std::optional(std::move(object)) : std::nullopt;
 }
--- a/src/pomelocontroller/backendpoller.cpp
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -9,17 +9,16 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-/// Servers of other homes are read this many times less often.
-constexpr int OtherIntervals = 4;
 
 } // namespace
 
 BackendPoller::BackendPoller(std::shared_ptr<HttpClient> client,
-                             std::chrono::milliseconds interval,
+                             PollLimits limits,
                              std::chrono::milliseconds timeout,
                              Handlers handlers)
     : m_client(std::move(client))
-    , m_interval(interval)
+    , m_limits(limits)
+    , m_plan(pollPlan(limits, 0))
     , m_timeout(timeout)
     , m_handlers(std::move(handlers))
 {
@@ -27,6 +26,7 @@
 
 void BackendPoller::setServers(const std::vector<BackendServer> &home, const std::vector<BackendServer> &others)
 {
+    m_plan = pollPlan(m_limits, home.size());
     auto before = std::exchange(m_servers, {});
     const auto take = [&](const BackendServer &server, bool isHome) {
         const auto known = before.find(server.name);
@@ -57,7 +57,7 @@
             continue;
         }
         server.polling = true;
-        server.nextPoll = now + (server.home ? m_interval : m_interval * OtherIntervals);
+        server.nextPoll = now + (server.home ? m_plan.load : m_plan.events * OtherEventIntervals);
         if (server.home) {
             pollLoad(server);
         } else {
@@ -89,7 +89,9 @@
         return;
     }
     m_handlers.reported(*report);
-    if (found->second.server.kind == BackendKind::Engine) {
+    const auto now = std::chrono::steady_clock::now();
+    if (found->second.server.kind == BackendKind::Engine && now >= found->second.nextEvents) {
+        found->second.nextEvents = now + m_plan.events;
         pollEvents(found->second);
     } else {
         found->second.polling = false;
--- a/src/pomelocontroller/backendpoller.h
+++ b/src/pomelocontroller/backendpoller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloport/coordination/pollplan.h"
 #include "pomeloport/protocol/enginemessages.h"
 #include "pomeloport/protocol/linkmessages.h"
 #include "pomeloport/state/declarations.h"
@@ -28,7 +29,7 @@
     };
 
     BackendPoller(std::shared_ptr<pomeloport::HttpClient> client,
-                  std::chrono::milliseconds interval,
+                  pomeloport::PollLimits limits,
                   std::chrono::milliseconds timeout,
                   Handlers handlers);
 
@@ -45,6 +46,7 @@
     {
         pomeloport::BackendServer server;
         std::chrono::steady_clock::time_point nextPoll{};
+        std::chrono::steady_clock::time_point nextEvents{};
         bool home = false;
         bool polling = false;
         std::uint64_t epoch = 0;
@@ -57,7 +59,8 @@
     void eventsAnswered(const std::string &name, const std::optional<pomeloport::HttpReply> &reply);
 
     std::shared_ptr<pomeloport::HttpClient> m_client;
-    std::chrono::milliseconds m_interval;
+    pomeloport::PollLimits m_limits;
+    pomeloport::PollPlan m_plan;
     std::chrono::milliseconds m_timeout;
     Handlers m_handlers;
     std::map<std::string, Server> m_servers;
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -28,8 +28,6 @@
 constexpr Duration StopGrace = std::chrono::seconds(1);
 constexpr Duration StopPatience = std::chrono::seconds(5);
 constexpr std::chrono::milliseconds FetchTimeout{1'000};
-/// Regions with more backend servers than this leave cache events to the servers' homes.
-constexpr std::size_t SharedEventServers = 32;
 constexpr double LoadUnits = 255;
 
 control::MemberRecord recordOf(const ControllerSettings &settings, std::uint64_t incarnation)
@@ -67,7 +65,7 @@
     , m_http(std::make_shared<HttpClient>(context))
     , m_platform(std::make_shared<PlatformClient>(context, settings.platform, settings.platformTimeout))
     , m_plane(controlSettings(recordOf(settings, incarnation), m_random()), steadyNow())
-    , m_backends(m_self)
+    , m_backends(m_self, settings.region)
     , m_groups(incarnation)
     , m_timer(context)
     , m_routerLostAt(steadyNow() - RouterGrace)
@@ -110,7 +108,8 @@
     polled.cacheChanged = [this](const link::CacheUpdate &update) {
         cacheChanged(update);
     };
-    m_poller = std::make_shared<BackendPoller>(m_http, m_settings.pollInterval, m_settings.pollTimeout, polled);
+    m_poller = std::make_shared<BackendPoller>(
+        m_http, PollLimits{m_settings.pollInterval, m_settings.sweepInterval}, m_settings.pollTimeout, polled);
 
     RouterLink::Handlers routed;
     routed.connected = [this] {
@@ -356,8 +355,9 @@
 {
     const auto home = m_backends.homeServers();
     std::vector<BackendServer> others;
-    if (m_declarations.backends.size() <= SharedEventServers) {
-        others = m_declarations.backends;
+    const auto all = m_backends.servers();
+    if (all.size() <= SharedEventServers) {
+        others = all;
         std::erase_if(others, [&](const auto &server) {
             return std::ranges::find(home, server.name, &BackendServer::name) != home.end();
         });
--- a/src/pomelocontroller/engineowner.cpp
+++ b/src/pomelocontroller/engineowner.cpp
@@ -2,6 +2,7 @@
 
 #include "steadynow.h"
 
+#include "pomeloport/coordination/pollplan.h"
 #include "pomeloport/logging.h"
 #include "pomeloport/protocol/enginemessages.h"
 
@@ -163,7 +164,8 @@
         if (!self || known == self->m_sweeps.end()) {
             return;
         }
-        known->second = {steadyNow() + self->m_limits.sweepInterval, false};
+        const auto interval = pollPlan({.holdings = self->m_limits.sweepInterval}, self->m_sweeps.size()).holdings;
+        known->second = {steadyNow() + interval, false};
         auto holdings = reply && reply->status == StatusOk ? decodeEngineHoldings(reply->body) : std::nullopt;
         if (holdings && holdings->engine == name) {
             self->sweep(sweepevent::HoldingsRead{std::move(*holdings)});
