Print numbers of pomeloctl's tables in decimal form

Cause: a load of 0 was shown as 0E0, the JSON library's form. Change: doubles are written by std::to_chars.

--- a/src/pomeloctl/output.cpp
+++ b/src/pomeloctl/output.cpp
@@ -3,6 +3,8 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -13,11 +15,22 @@
 
 using Row = std::vector<std::string>;
 
+/// Writes a number in its shortest decimal form.
+std::string numberText(double number)
+{
+    std::array<char, 32> buffer{};
+    const auto [end, error] = std::to_chars(buffer.data(), buffer.data() + buffer.size(), number);
+    return {buffer.data(), end};
+}
+
 std::string cellText(const boost::json::value &value)
 {
     if (value.is_string()) {
         return std::string(value.get_string());
     }
+    if (value.is_double()) {
+        return numberText(value.get_double());
+    }
     return value.is_null() ? "-" : boost::json::serialize(value);
 }
 
