Print the aims of bench-relay as met or missed

Cause: other benches print aims as aim_met or aim_missed and keep fail for bounds. Change: bench-relay prints the same verdicts and exits 1 only when a stream failed.

--- a/src/benchrelay/main.cpp
+++ b/src/benchrelay/main.cpp
@@ -49,19 +49,45 @@
     std::size_t samples = 300;
 };
 
-/// Prints one result. Without a bound the line passes: it only reports.
-void report(const char *metric, double value, const char *comparison = "", std::optional<double> bound = {})
+/// What a figure is held against.
+enum class BoundKind {
+    /// Reported only.
+    None,
+    /// Failures must not exceed it.
+    AtMost,
+    /// The stated aims, printed as met or missed.
+    AimAtMost,
+    AimAtLeast,
+};
+
+std::string_view verdictOf(double value, BoundKind kind, double bound)
+{
+    switch (kind) {
+    case BoundKind::None:
+        return "info";
+    case BoundKind::AtMost:
+        return value <= bound ? "pass" : "fail";
+    case BoundKind::AimAtMost:
+        return value <= bound ? "aim_met" : "aim_missed";
+    case BoundKind::AimAtLeast:
+        return value >= bound ? "aim_met" : "aim_missed";
+    }
+    return "info";
+}
+
+/// Prints one result and returns whether it holds; a missed aim is no failure.
+bool report(const char *metric, double value, BoundKind kind = BoundKind::None, double bound = 0)
 {
-    const bool atMost = std::string_view(comparison) == "<=";
-    const bool pass = !bound || (atMost ? value <= *bound : value >= *bound);
+    const auto verdict = verdictOf(value, kind, bound);
     std::printf("metric=%s value=%.6g bound=", metric, value);
-    if (bound) {
-        std::printf("%s%.6g", comparison, *bound);
-    } else {
+    if (kind == BoundKind::None) {
         std::printf("none");
+    } else {
+        std::printf("%s%.6g", kind == BoundKind::AimAtLeast ? ">=" : "<=", bound);
     }
-    std::printf(" verdict=%s\n", pass ? "pass" : "fail");
+    std::printf(" verdict=%s\n", std::string(verdict).c_str());
     std::fflush(stdout);
+    return verdict != "fail";
 }
 
 std::size_t raiseFileLimit()
@@ -114,8 +140,14 @@
         return m_router && !m_upstream.address().empty();
     }
 
+    /// Whether no stream failed.
+    bool passed() const
+    {
+        return m_passed;
+    }
+
     /// Tokens relayed in a second of the router's processor time.
-    void measureTokens(const char *metric, std::chrono::milliseconds step, std::optional<double> bound)
+    void measureTokens(const char *metric, std::chrono::milliseconds step, BoundKind kind)
     {
         setPlan({m_options.tokens, 0ms, step, 0});
         const auto before = results();
@@ -123,7 +155,7 @@
         start(routerPlan(), m_options.streams, 200us);
         const auto after = waitFor(before.whole + before.failed + m_options.streams, &Bench::endedCount);
         const double tokens = static_cast<double>((after.whole - before.whole) * m_options.tokens);
-        report(metric, tokens / (m_routerWorker.processorSeconds() - used), ">=", bound);
+        report(metric, tokens / (m_routerWorker.processorSeconds() - used), kind, TokensPerSecondAim);
         reportFailures(after.failed - before.failed);
     }
 
@@ -157,8 +189,8 @@
         m_upstreamWorker.run([this] { m_upstream.releaseHeld(); });
         const auto after = waitFor(before.whole + before.failed + count, &Bench::endedCount);
         std::printf("# file limit %zu allows %zu streams with both ends in this process\n", fileLimit, possible);
-        report("open_streams", open, ">=", static_cast<double>(OpenStreamsAim));
-        report("router_heap_bytes_per_open_stream", heap / open, "<=", BytesPerStreamAim);
+        report("open_streams", open, BoundKind::AimAtLeast, static_cast<double>(OpenStreamsAim));
+        report("router_heap_bytes_per_open_stream", heap / open, BoundKind::AimAtMost, BytesPerStreamAim);
         report("resident_bytes_per_open_stream_with_both_ends", resident / open);
         reportFailures(after.failed - before.failed);
     }
@@ -257,9 +289,9 @@
         return now;
     }
 
-    static void reportFailures(std::size_t failed)
+    void reportFailures(std::size_t failed)
     {
-        report("failed_streams", static_cast<double>(failed), "<=", 0);
+        m_passed = report("failed_streams", static_cast<double>(failed), BoundKind::AtMost, 0) && m_passed;
     }
 
     Options m_options;
@@ -269,6 +301,7 @@
     Upstream m_upstream;
     Callers m_callers;
     std::shared_ptr<pomelorouter::Router> m_router;
+    bool m_passed = true;
 };
 
 std::optional<Options> parseOptions(int argc, char **argv, int &exitCode)
@@ -298,7 +331,7 @@
         exitCode = 0;
         values.contains("help") ? std::cout << "Usage: bench-relay [options]\n\nMeasures what the router adds between "
                                                "callers and engines, all in one process.\nPrints one line a metric; "
-                                               "exit code 0 when it ran, 1 when it could not, 2 wrong usage.\n\n"
+                                               "exit code 0 when no stream failed, 1 otherwise, 2 wrong usage.\n\n"
                                             << description
                                 : std::cout << "bench-relay 0.1.0\n";
         return std::nullopt;
@@ -315,10 +348,10 @@
         return 1;
     }
     bench.measureFirstToken();
-    bench.measureTokens("tokens_per_router_core_second_paced", 20ms, TokensPerSecondAim);
-    bench.measureTokens("tokens_per_router_core_second_unpaced", 0ms, {});
+    bench.measureTokens("tokens_per_router_core_second_paced", 20ms, BoundKind::AimAtLeast);
+    bench.measureTokens("tokens_per_router_core_second_unpaced", 0ms, BoundKind::None);
     bench.measureOpenStreams(fileLimit);
-    return 0;
+    return bench.passed() ? 0 : 1;
 }
 
 } // namespace
