--- a/src/libpomeloport/coordination/memberlist.cpp
+++ b/src/libpomeloport/coordination/memberlist.cpp
@@ -167,11 +167,21 @@
     return result;
 }
 
+std::vector<std::string> MemberList::suspects() const
+{
+    return inState(InstanceState::Suspect);
+}
+
 std::vector<std::string> MemberList::dead() const
+{
+    return inState(InstanceState::Dead);
+}
+
+std::vector<std::string> MemberList::inState(InstanceState state) const
 {
     std::vector<std::string> result;
     for (const auto &[name, entry] : m_entries) {
-        if (entry.record.state == InstanceState::Dead) {
+        if (entry.record.state == state) {
             result.push_back(name);
         }
     }
--- a/src/libpomeloport/coordination/memberlist.h
+++ b/src/libpomeloport/coordination/memberlist.h
@@ -58,6 +58,9 @@
     /// Names of live and suspected peers, by name.
     std::vector<std::string> peers() const;
 
+    /// Names of suspected peers.
+    std::vector<std::string> suspects() const;
+
     /// Names of dead peers.
     std::vector<std::string> dead() const;
 
@@ -89,6 +92,7 @@
         Instant deadline{};
     };
 
+    std::vector<std::string> inState(InstanceState state) const;
     void put(const control::MemberRecord &record, Instant now);
     std::uint32_t transmissions() const;
 
--- a/src/libpomeloport/coordination/membership.cpp
+++ b/src/libpomeloport/coordination/membership.cpp
@@ -163,12 +163,10 @@
     /// Sends heartbeats to suspects, so that they hear of the suspicion and can refute it to each peer directly.
     void verifySuspects(Instant now)
     {
-        for (const auto &name : list.peers()) {
+        const auto suspects = list.suspects();
+        std::erase_if(verifyAt, [&](const auto &entry) { return !std::ranges::binary_search(suspects, entry.first); });
+        for (const auto &name : suspects) {
             const auto *record = list.find(name);
-            if (record->state != InstanceState::Suspect) {
-                verifyAt.erase(name);
-                continue;
-            }
             const auto [entry, fresh] = verifyAt.try_emplace(name, now + jittered(settings.ackTimeout));
             if (!fresh && now >= entry->second) {
                 entry->second = now + jittered(VerifyInterval);
