Keep part of each engine's memory for short prompts

At the crest short prompts waited inside engines whose memory the routers had filled with longer prompts behind late reports. Prompts that are not short may now fill 90% of an engine's memory, short ones 99%.

--- a/src/include/pomeloport/coordination/placementpolicy.h
+++ b/src/include/pomeloport/coordination/placementpolicy.h
@@ -22,9 +22,10 @@
     Duration promptWaitLimit = std::chrono::milliseconds(800);
     /// Queued prompt tokens of class Bulk above which an engine gets no further ones.
     double bulkQueueLimitTokens = 50'000;
-    /// Part of an engine's KV memory that placement plans to fill.
-    double memoryLimit = 0.99;
-    /// Part that requests of class Bulk may fill, which leaves room for others.
+    /// Parts of an engine's KV memory that placement plans to fill by class. What the other classes leave free lets short
+    /// prompts start at once although the reports are late.
+    double shortMemoryLimit = 0.99;
+    double promptMemoryLimit = 0.90;
     double bulkMemoryLimit = 0.85;
     /// Part of the time to its deadline for which a prompt of class Huge waits while shorter ones are held back.
     double yieldPart = 0.4;
--- a/src/libpomeloport/coordination/fleetview.cpp
+++ b/src/libpomeloport/coordination/fleetview.cpp
@@ -134,7 +134,7 @@
     prediction.finish = prediction.firstToken + (speed.decodeMeasured() ? prediction.decode : 0);
 
     const auto total = static_cast<double>(std::max(view.server.kvTokens, report.kvTokensTotal));
-    const auto limit = priority == EnginePriority::Bulk ? m_policy.bulkMemoryLimit : m_policy.memoryLimit;
+    const auto limit = memoryLimit(priority);
     const auto used = static_cast<double>(std::max(report.kvTokensUsed, view.groupTokens) + recent.kvTokens);
     const auto needed = static_cast<double>(kvTokensOf(request));
     // An empty engine takes whatever fits into it.
@@ -149,6 +149,19 @@
     return found == m_indices.end() ? std::nullopt : std::optional(found->second);
 }
 
+double FleetView::memoryLimit(EnginePriority priority) const
+{
+    switch (priority) {
+    case EnginePriority::Urgent:
+        return m_policy.shortMemoryLimit;
+    case EnginePriority::Normal:
+        return m_policy.promptMemoryLimit;
+    case EnginePriority::Bulk:
+        break;
+    }
+    return m_policy.bulkMemoryLimit;
+}
+
 const BackendView &FleetView::view(std::uint32_t backend) const
 {
     return m_snapshot->backends[backend];
--- a/src/libpomeloport/coordination/fleetview.h
+++ b/src/libpomeloport/coordination/fleetview.h
@@ -94,6 +94,7 @@
         CircuitBreaker breaker;
     };
     void refresh(Pool &pool, const PoolKey &key, Instant now);
+    double memoryLimit(EnginePriority priority) const;
     void refreshShortOnly(Pool &pool, Instant now) const;
 
     const PlacementPolicy &m_policy;
