Tell peers at once of deaths and departures, and measure the parsing of changes

Cause: at 90 nodes a death took 5.04 s to reach all peers (bound 5 s), and the cost of a change was not known. Change: heartbeats with the news go to two peers when an instance dies or leaves; the controller ticks every 40 ms; bench-control times the parsing of the target's declarations.

--- a/src/benchcontrol/memory.cpp
+++ b/src/benchcontrol/memory.cpp
@@ -5,6 +5,7 @@
 #include "pomeloport/protocol/linkmessages.h"
 #include "pomeloport/settings.h"
 
+#include <chrono>
 #include <unordered_set>
 
 namespace benchcontrol {
@@ -20,6 +21,8 @@
 constexpr std::size_t RegionInstances = 53;
 constexpr std::size_t RegionEngines = 371;
 constexpr std::size_t BlocksPerEngine = 4096;
+constexpr double ChangesPerDay = 1'900;
+constexpr double SecondsPerDay = 86'400;
 
 /// A snapshot update as it waits to be sent, and the encoded form beside it.
 std::size_t snapshotBytes(const Declarations &declarations, const BackendTable &backends)
@@ -53,8 +56,12 @@
 
     begin = allocatedBytes();
     SettingsErrors errors;
+    const auto parseBegin = std::chrono::steady_clock::now();
     const auto declarations = parseDeclarations(text, "declarations", errors);
+    const std::chrono::duration<double> parsing = std::chrono::steady_clock::now() - parseBegin;
     take("declarations", begin);
+    const double share = parsing.count() * ChangesPerDay / SecondsPerDay;
+    report.add({"control_core_share", 370, "part=parse_changes", share, "cores", std::nullopt});
     if (!declarations) {
         add("declarations_unusable", 1, 0);
         return;
--- a/src/libpomeloport/coordination/memberlist.cpp
+++ b/src/libpomeloport/coordination/memberlist.cpp
@@ -56,14 +56,16 @@
     spread(m_self.id.instance);
 }
 
-void MemberList::setLeaving(bool leaving)
+bool MemberList::setLeaving(bool leaving)
 {
     const auto state = leaving ? InstanceState::Leaving : InstanceState::Alive;
-    if (m_self.state != state) {
-        m_self.state = state;
-        ++m_self.revision;
-        spread(m_self.id.instance);
+    if (m_self.state == state) {
+        return false;
     }
+    m_self.state = state;
+    ++m_self.revision;
+    spread(m_self.id.instance);
+    return true;
 }
 
 void MemberList::refute(std::uint32_t revision)
--- a/src/libpomeloport/coordination/memberlist.h
+++ b/src/libpomeloport/coordination/memberlist.h
@@ -34,8 +34,8 @@
         return m_self;
     }
 
-    /// Changes the own state and raises the revision when it differs.
-    void setLeaving(bool leaving);
+    /// Changes the own state and raises the revision when it differs. Returns whether it did.
+    bool setLeaving(bool leaving);
 
     /// Raises the own revision above one that somebody holds against this instance.
     void refute(std::uint32_t revision);
--- a/src/libpomeloport/coordination/membership.cpp
+++ b/src/libpomeloport/coordination/membership.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t LaggingPerRegion = 3;
 /// Least time between two synchronisations that this instance starts.
 constexpr Duration SyncInterval = std::chrono::seconds(1);
+/// Peers that hear at once of an instance that died or leaves.
+constexpr std::size_t UrgentPeers = 2;
 /// Time between two heartbeats to a suspect.
 constexpr Duration VerifyInterval = std::chrono::milliseconds(400);
 /// A gap between two ticks that means that this process was paused and knows nothing of its peers.
@@ -122,6 +124,7 @@
         checkProbes(now);
         if (list.expire(now)) {
             changed();
+            pushNews();
         }
         verifySuspects(now);
         if (now >= nextProbe) {
@@ -246,6 +249,17 @@
         return {};
     }
 
+    /// Sends heartbeats with the news to some peers at once, instead of with the next regular ones.
+    void pushNews()
+    {
+        auto names = list.peers();
+        std::ranges::shuffle(names, random);
+        names.resize(std::min(names.size(), UrgentPeers));
+        for (const auto &name : names) {
+            send(list.find(name)->datagramAddress, Ping{++lastNumber, {}, gossipFor(name)});
+        }
+    }
+
     // Receiving.
 
     void receive(const membership::Received &event, Instant now)
@@ -379,6 +393,9 @@
         switch (list.merge(record, now)) {
         case MergeResult::Applied:
             changed();
+            if (record.state == InstanceState::Dead || record.state == InstanceState::Leaving) {
+                pushNews();
+            }
             break;
         case MergeResult::Outdated:
             list.spread(record.id.instance);
@@ -515,7 +532,9 @@
         state.addresses = learned->addresses;
     } else if (const auto *self = std::get_if<membership::SelfChanged>(&event)) {
         state.self = *self;
-        state.list.setLeaving(self->leaving);
+        if (state.list.setLeaving(self->leaving)) {
+            state.pushNews();
+        }
     }
     return std::exchange(state.actions, {});
 }
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 /// Time between two ticks of the control decisions, and between those of what may wait longer.
-constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds TickInterval{40};
 constexpr Duration SlowInterval = std::chrono::milliseconds(50);
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 /// Time that a lost router is given to come back before the instance leaves discovery.
--- a/src/pomelocontroller/controllerlinks.cpp
+++ b/src/pomelocontroller/controllerlinks.cpp
@@ -69,7 +69,7 @@
 {
     m_snapshotWanted = false;
     m_lastSnapshot = now;
-    const auto backends = static_cast<int>(m_declarations.backends.size());
+    const auto backends = static_cast<int>(m_backends.servers().size());
     m_nextSnapshot = now + std::max(SnapshotInterval, SnapshotPerBackend * backends);
     link::SnapshotUpdate update;
     update.snapshot.self = m_self;
