Free what dead instances held, and ask again when a group coordinator dies

Its group reservations stayed until their deadlines, and a group asked for at a coordinator that had just died was answered only at the deadline, as a connection that never opened was never reported closed.

An owner now counts as gone once its instance has been dead for 5 s and its router takes no connection; its reservations end then as well. Queries to peers that leave the membership fail at once, and a group is asked for again at the next coordinator. pomeloctl diff accepts one file, as its help says.

--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -20,6 +20,8 @@
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 /// Time that a lost router is given to come back before the instance leaves discovery.
 constexpr Duration RouterGrace = std::chrono::seconds(2);
+/// Time after its death from which an instance whose router takes no connection counts as gone for good.
+constexpr Duration OwnerGoneAfter = std::chrono::seconds(5);
 /// Readings of the platform's list by watchers, by an instance without peers, and by the others.
 constexpr std::chrono::milliseconds WatcherListInterval{2'000};
 constexpr std::chrono::milliseconds LonelyListInterval{3'000};
@@ -163,6 +165,7 @@
         m_nextSlow = now + SlowInterval;
         m_poller->tick(std::chrono::steady_clock::now());
         m_owner->tick(now);
+        releaseGroupsOfDead(now);
         m_groups.tick(now);
         hearReports();
         updateLeaving(now);
@@ -262,6 +265,9 @@
         }
         if (view.state != InstanceState::Dead) {
             addresses.insert(view.peerAddress);
+            m_deadSince.erase(view.id.instance);
+        } else {
+            m_deadSince.try_emplace(view.id.instance, steadyNow());
         }
     }
     m_instances = std::move(instances);
@@ -271,6 +277,22 @@
     m_snapshotWanted = true;
 }
 
+bool Controller::isLongDead(const std::string &instance) const
+{
+    const auto found = m_deadSince.find(instance);
+    return found != m_deadSince.end() && steadyNow() - found->second >= OwnerGoneAfter;
+}
+
+/// Frees the reservations of instances that have been dead for long. An engine that is in use after all refuses.
+void Controller::releaseGroupsOfDead(Instant now)
+{
+    for (const auto &[instance, since] : m_deadSince) {
+        if (isLongDead(instance)) {
+            m_groups.instanceGone(instance, now);
+        }
+    }
+}
+
 void Controller::sendOwnReport(Instant now)
 {
     control::InstanceReport report;
--- a/src/pomelocontroller/controller.h
+++ b/src/pomelocontroller/controller.h
@@ -69,6 +69,8 @@
     void adopt(const pomeloport::configspread::Adopt &adopt);
     void fetchConfig(const pomeloport::configspread::Fetch &fetch);
     void instancesChanged();
+    bool isLongDead(const std::string &instance) const;
+    void releaseGroupsOfDead(pomeloport::Instant now);
     void sendOwnReport(pomeloport::Instant now);
     void hearReports();
     void updateLeaving(pomeloport::Instant now);
@@ -98,6 +100,7 @@
     void peerAsked(pomeloport::PeerMessage message, const PeerLinks::Responder &respond);
     void reserveAt(const pomeloport::InstanceView &coordinator, const pomeloport::link::GroupReserve &request);
     void askOwner(const pomeloport::link::LiveStreamsQuery &query, LiveStreamsCallback callback);
+    void probeRouter(const std::string &address, LiveStreamsCallback callback);
     void askHolder(const pomeloport::link::ClaimHolderQuery &query, ClaimHolderCallback callback);
     void askRouterStreams(pomeloport::link::LiveStreamsQuery query, LiveStreamsCallback callback);
     void askRouterHolder(pomeloport::link::ClaimHolderQuery query, ClaimHolderCallback callback);
@@ -122,6 +125,8 @@
     pomeloport::Declarations m_declarations;
     std::uint64_t m_configVersion = 0;
     std::vector<pomeloport::InstanceView> m_instances;
+    /// Instances that count as dead, and since when.
+    std::map<std::string, pomeloport::Instant> m_deadSince;
     std::map<std::string, std::uint64_t> m_heardSequences;
     std::set<std::uint32_t> m_listedLeaving;
     std::map<std::string, std::unordered_set<std::uint64_t>> m_cache;
--- a/src/pomelocontroller/controllerlinks.cpp
+++ b/src/pomelocontroller/controllerlinks.cpp
@@ -110,11 +110,18 @@
 
 void Controller::reserveAt(const InstanceView &coordinator, const link::GroupReserve &request)
 {
-    const auto answered = [weak = weak_from_this(), query = request.query](const auto &reply) {
+    const auto answered = [weak = weak_from_this(), request, asked = coordinator.id](const auto &reply) {
         const auto self = weak.lock();
         if (!self) {
             return;
         }
+        const auto query = request.query;
+        const auto *present = self->coordinatorOf(request.model);
+        if (!reply && present && present->id != asked) {
+            // The coordinator died; its successor knows nothing of the request.
+            self->take(request);
+            return;
+        }
         if (auto granted = reply ? std::get_if<link::GroupGranted>(&*reply) : nullptr) {
             auto answer = *granted;
             answer.query = query;
@@ -254,12 +261,28 @@
         callback({});
         return;
     }
+    if (isLongDead(query.owner.instance)) {
+        probeRouter(owner->httpAddress, std::move(callback));
+        return;
+    }
     m_peers->query(owner->peerAddress, query, QueryTimeout, [callback = std::move(callback)](const auto &reply) {
         const auto *answer = reply ? std::get_if<link::LiveStreamsReply>(&*reply) : nullptr;
         callback(answer ? *answer : link::LiveStreamsReply{});
     });
 }
 
+/// Concludes that an owner is gone when its router, too, takes no connection. A router serves on without its
+/// controller, whose silence alone proves nothing.
+void Controller::probeRouter(const std::string &address, LiveStreamsCallback callback)
+{
+    HttpCall call{address, "GET", "/healthz", {}, {}, QueryTimeout};
+    m_http->send(std::move(call), [callback = std::move(callback)](const auto &reply, bool sent) {
+        link::LiveStreamsReply answer;
+        answer.ownerGone = !reply && !sent;
+        callback(answer);
+    });
+}
+
 void Controller::askHolder(const link::ClaimHolderQuery &query, ClaimHolderCallback callback)
 {
     if (query.holder.instance == m_self.instance) {
--- a/src/pomelocontroller/groupdesk.cpp
+++ b/src/pomelocontroller/groupdesk.cpp
@@ -29,6 +29,7 @@
     need.tokens = request.tokens;
     need.deadline = now + std::chrono::milliseconds(request.deadlineMs);
     m_waiting[request.stream] = {request.query, std::move(responder)};
+    m_owners.insert(request.stream.owner);
     handle(groupevent::Reserve{std::move(need)}, now);
 }
 
@@ -38,9 +39,18 @@
     handle(groupevent::Release{release.stream}, now);
 }
 
-void GroupDesk::ownerGone(const OwnerId &owner, Instant now)
+void GroupDesk::instanceGone(const std::string &instance, Instant now)
 {
-    handle(groupevent::OwnerGone{owner}, now);
+    const auto isOfInstance = [&instance](const OwnerId &owner) {
+        return owner.instance == instance;
+    };
+    for (const auto &owner : m_owners) {
+        if (isOfInstance(owner)) {
+            std::erase_if(m_waiting, [&owner](const auto &entry) { return entry.first.owner == owner; });
+            handle(groupevent::OwnerGone{owner}, now);
+        }
+    }
+    std::erase_if(m_owners, isOfInstance);
 }
 
 void GroupDesk::enginesChanged(std::shared_ptr<const Snapshot> snapshot, Instant now)
--- a/src/pomelocontroller/groupdesk.h
+++ b/src/pomelocontroller/groupdesk.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace pomelocontroller {
@@ -24,7 +26,8 @@
 
     void release(const pomeloport::link::GroupRelease &release, pomeloport::Instant now);
 
-    void ownerGone(const pomeloport::OwnerId &owner, pomeloport::Instant now);
+    /// Ends all reservations of an instance that is gone, whichever of its processes made them.
+    void instanceGone(const std::string &instance, pomeloport::Instant now);
 
     void enginesChanged(std::shared_ptr<const pomeloport::Snapshot> snapshot, pomeloport::Instant now);
 
@@ -42,6 +45,8 @@
 
     pomeloport::GroupCoordinator m_coordinator;
     std::map<pomeloport::StreamAddress, Waiting> m_waiting;
+    /// Owners that have reserved, for instanceGone().
+    std::set<pomeloport::OwnerId> m_owners;
 };
 
 } // namespace pomelocontroller
--- a/src/pomelocontroller/peerlinks.cpp
+++ b/src/pomelocontroller/peerlinks.cpp
@@ -143,9 +143,14 @@
     if (peer != m_peers.end()) {
         peer->second.open = false;
     }
+    failPending([&address](const std::string &asked) { return asked == address; });
+}
+
+void PeerLinks::failPending(const std::function<bool(const std::string &address)> &fails)
+{
     std::vector<std::uint64_t> failed;
     for (const auto &[number, pending] : m_pending) {
-        if (pending.address == address) {
+        if (fails(pending.address)) {
             failed.push_back(number);
         }
     }
@@ -174,6 +179,7 @@
 void PeerLinks::keep(const std::set<std::string> &addresses)
 {
     std::erase_if(m_peers, [&](const auto &entry) { return !addresses.contains(entry.first); });
+    failPending([&addresses](const std::string &asked) { return !addresses.contains(asked); });
 }
 
 } // namespace pomelocontroller
--- a/src/pomelocontroller/peerlinks.h
+++ b/src/pomelocontroller/peerlinks.h
@@ -44,7 +44,7 @@
     /// Sends a message that is not answered.
     void tell(const std::string &address, const pomeloport::PeerMessage &message);
 
-    /// Closes connections to all other addresses.
+    /// Closes connections to all other addresses and fails the queries under way there.
     void keep(const std::set<std::string> &addresses);
 
 private:
@@ -66,6 +66,7 @@
     std::shared_ptr<pomeloport::FramedClient> connect(const std::string &address);
     void opened(const std::string &address);
     void closed(const std::string &address);
+    void failPending(const std::function<bool(const std::string &address)> &fails);
     void received(const std::string &bytes);
     void settle(std::uint64_t query, const std::optional<pomeloport::PeerMessage> &reply);
 
--- a/src/pomeloctl/commandtable.cpp
+++ b/src/pomeloctl/commandtable.cpp
@@ -16,7 +16,7 @@
           "FILE [OTHER]",
           "Show what differs",
           "With one file, compares what the store holds with it; with two, compares them with each other.\n",
-          2,
+          1,
           2},
          diff},
         {{"apply",
