Let long reviews ask for a group after a while, yield for calm, and smooth decode steps

A prompt of class Huge that found no engine for 20 s now asks the coordinator, which sets memory aside and keeps off the engines for short work; long reviews start 5 s after the last held prompt; a report weighs a tenth for decode steps.

--- a/src/include/pomeloport/coordination/groupcoordinator.h
+++ b/src/include/pomeloport/coordination/groupcoordinator.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -177,6 +178,9 @@
     bool refuseImpossible(const Waiting &waiting);
     bool tryGrant(Waiting &waiting);
     void collect(Waiting &waiting);
+    std::set<std::string> shortOnlyEngines(const PoolKey &pool) const;
+    static std::vector<Space> without(std::vector<Space> spaces, const std::set<std::string> &engines);
+    std::vector<Space> pick(const Waiting &waiting, SpaceBasis basis) const;
     std::vector<Space> spaces(const Waiting &waiting, SpaceBasis basis) const;
     std::vector<Space> cheapest(std::vector<Space> spaces, std::uint64_t tokens) const;
     std::uint64_t reservedAt(const std::string &engine, const Waiting &except) const;
--- a/src/include/pomeloport/coordination/placementpolicy.h
+++ b/src/include/pomeloport/coordination/placementpolicy.h
@@ -22,13 +22,17 @@
     Duration promptWaitLimit = std::chrono::milliseconds(800);
     /// Queued prompt tokens of class Bulk above which an engine gets no further ones.
     double bulkQueueLimitTokens = 50'000;
-    /// Parts of an engine's KV memory that placement plans to fill by class. What the other classes leave free lets short
-    /// prompts start at once although the reports are late.
+    /// Parts of an engine's KV memory that placement plans to fill by class. What the other classes leave free lets
+    /// short prompts start at once although the reports are late.
     double shortMemoryLimit = 0.99;
     double promptMemoryLimit = 0.90;
     double bulkMemoryLimit = 0.85;
-    /// Part of the time to its deadline for which a prompt of class Huge waits while shorter ones are held back.
+    /// While shorter prompts are held back, and for this time after, prompts of class Huge are not started, unless they
+    /// have waited for this part of the time to their deadline.
+    Duration calmTime = std::chrono::seconds(5);
     double yieldPart = 0.4;
+    /// How long a prompt of class Huge looks for a single engine before it asks for a group.
+    Duration spillAfter = std::chrono::seconds(20);
     /// Seconds added to the score of an engine that has prompts of other classes, for a short request.
     double mixedStepPenalty = 0.02;
     /// Seconds added to the score of a short-only engine, for a prompt that is not short, per unit of the objective's
--- a/src/libpomeloport/coordination/costmodel.cpp
+++ b/src/libpomeloport/coordination/costmodel.cpp
@@ -11,6 +11,7 @@
 constexpr double ReportWeight = 0.5;
 constexpr double ObservationWeight = 0.1;
 constexpr double IntervalWeight = 0.05;
+constexpr double DecodeWeight = 0.1;
 // First chunks of less work tell more about waiting than about speed.
 constexpr double LeastTokensToLearnFrom = 1'000;
 constexpr double LeastCorrection = 0.5;
@@ -57,7 +58,7 @@
         m_prefillTokensPerSecond = blend(m_prefillTokensPerSecond, report.prefillTokensPerSecond, ReportWeight);
     }
     if (report.decodeStepSeconds > 0) {
-        m_decodeStepSeconds = blend(m_decodeStepSeconds, report.decodeStepSeconds, ReportWeight);
+        m_decodeStepSeconds = blend(m_decodeStepSeconds, report.decodeStepSeconds, DecodeWeight);
         m_decodeMeasured = true;
     }
 }
--- a/src/libpomeloport/coordination/groupcoordinator.cpp
+++ b/src/libpomeloport/coordination/groupcoordinator.cpp
@@ -1,6 +1,9 @@
 #include "pomeloport/coordination/groupcoordinator.h"
 
+#include "pomeloport/coordination/isolation.h"
+
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -152,7 +155,7 @@
 
 bool GroupCoordinator::tryGrant(Waiting &waiting)
 {
-    const auto members = cheapest(spaces(waiting, SpaceBasis::FreeNow), waiting.need.tokens);
+    const auto members = pick(waiting, SpaceBasis::FreeNow);
     if (members.empty()) {
         return false;
     }
@@ -177,11 +180,43 @@
         return;
     }
     waiting.collecting.clear();
-    for (const auto &space : cheapest(engines, waiting.need.tokens)) {
+    for (const auto &space : pick(waiting, SpaceBasis::Unreserved)) {
         waiting.collecting[space.engine] = space.tokens;
     }
 }
 
+std::set<std::string> GroupCoordinator::shortOnlyEngines(const PoolKey &pool) const
+{
+    std::vector<std::string> names;
+    for (const auto index : poolMembers(pool, *m_snapshot)) {
+        names.push_back(m_snapshot->backends[index].server.name);
+    }
+    const auto share = m_snapshot->declarations.objective.shortOnlyShare;
+    const auto count = static_cast<std::size_t>(std::ceil(share * static_cast<double>(names.size())));
+    std::set<std::string> result;
+    const auto order = shortOnlyOrder(names);
+    for (std::size_t rank = 0; rank < std::min(count, order.size()); ++rank) {
+        result.insert(names[order[rank]]);
+    }
+    return result;
+}
+
+std::vector<GroupCoordinator::Space> GroupCoordinator::without(std::vector<Space> spaces,
+                                                               const std::set<std::string> &engines)
+{
+    std::erase_if(spaces, [&engines](const Space &space) { return engines.contains(space.engine); });
+    return spaces;
+}
+
+std::vector<GroupCoordinator::Space> GroupCoordinator::pick(const Waiting &waiting, SpaceBasis basis) const
+{
+    const auto shortOnly = shortOnlyEngines(waiting.need.pool);
+    const auto tokens = waiting.need.tokens;
+    const bool othersSuffice = !cheapest(without(spaces(waiting, SpaceBasis::Total), shortOnly), tokens).empty();
+    auto engines = spaces(waiting, basis);
+    return cheapest(othersSuffice ? without(std::move(engines), shortOnly) : std::move(engines), tokens);
+}
+
 std::vector<GroupCoordinator::Space> GroupCoordinator::spaces(const Waiting &waiting, SpaceBasis basis) const
 {
     std::vector<Space> result;
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -65,8 +65,8 @@
     std::optional<Candidate> best(const RouteQuery &query, const detail::Pool &pool, Instant now);
     Candidate examine(const RouteQuery &query, const detail::Pool &pool, std::uint32_t position, Instant now);
     std::vector<std::uint32_t> sample(const RequestSpec &request, const detail::Pool &pool);
-    bool hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now);
-    bool yieldsToPrompts(const RequestSpec &request, Instant now);
+    bool hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now) const;
+    bool yieldsToPrompts(const RequestSpec &request, Instant now) const;
     LineEntry lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now);
     EnginePriority priorityOf(const RequestSpec &request) const;
     double shareWeight(const std::string &organisation) const;
@@ -83,6 +83,8 @@
     RetryBudget m_retries;
     std::mt19937_64 m_random;
     std::uint64_t m_examined = 0;
+    /// When a prompt below the class Huge was held back last.
+    std::optional<Instant> m_promptHeldAt;
 };
 
 RouteDecision Placement::Implementation::choose(const RouteQuery &query, Instant now, RouteExplanation *explanation)
@@ -155,6 +157,12 @@
     if (turn && (hasRoom(*candidate, request, now) || (urgent && candidate->score < NoMemoryScore))) {
         return dispatch(query, *candidate, entry, now);
     }
+    const bool spills = entry.kind == LineKind::Bulk && now >= request.arrival + m_policy.spillAfter;
+    if (spills && turn && !yieldsToPrompts(request, now)) {
+        // No single engine becomes empty enough by itself: have the coordinator collect memory.
+        m_line.remove(&request);
+        return NeedsGroup{request.model, kvTokensOf(request)};
+    }
     return hold(query, pool, entry, now);
 }
 
@@ -191,6 +199,9 @@
         }
     }
     m_line.put(&request, entry);
+    if (entry.kind == LineKind::Prompt) {
+        m_promptHeldAt = now;
+    }
     // The first of a line looks for room by itself; the others are woken when it is their turn.
     const bool first = m_line.first(entry.kind, now) == &request;
     const auto interval = first ? m_policy.holdInterval : m_policy.idleHoldInterval;
@@ -298,7 +309,7 @@
     return candidate;
 }
 
-bool Placement::Implementation::hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now)
+bool Placement::Implementation::hasRoom(const Candidate &candidate, const RequestSpec &request, Instant now) const
 {
     const auto &prediction = candidate.prediction;
     if (prediction.memoryFit < 1) {
@@ -316,11 +327,11 @@
         && prediction.tokensAhead - prediction.bulkTokens <= m_policy.bulkQueueLimitTokens;
 }
 
-bool Placement::Implementation::yieldsToPrompts(const RequestSpec &request, Instant now)
+bool Placement::Implementation::yieldsToPrompts(const RequestSpec &request, Instant now) const
 {
     const auto patience = seconds(request.deadline - request.arrival);
     const bool patient = seconds(now - request.arrival) < m_policy.yieldPart * patience;
-    return patient && m_line.first(LineKind::Prompt, now) != nullptr;
+    return patient && m_promptHeldAt && now < *m_promptHeldAt + m_policy.calmTime;
 }
 
 LineEntry Placement::Implementation::lineEntry(const RequestSpec &request, const Candidate &candidate, Instant now)
