--- a/src/libpomelorouter/answerwriter.cpp
+++ b/src/libpomelorouter/answerwriter.cpp
@@ -12,7 +12,6 @@
 using namespace pomeloport;
 
 constexpr unsigned StatusOk = 200;
-constexpr std::size_t MaximumWholeBytes = 64UL * 1024 * 1024;
 constexpr std::int64_t MillisecondsPerSecond = 1000;
 
 } // namespace
@@ -110,12 +109,6 @@
     return stream ? stream->pending.size() : 0;
 }
 
-bool AnswerWriter::tooLong() const
-{
-    const auto *whole = std::get_if<WholeAnswer>(&m_answer);
-    return whole && whole->text.size() > MaximumWholeBytes;
-}
-
 void replyFailure(HttpExchange &exchange, const Failure &failure, std::string_view request)
 {
     std::vector<std::pair<std::string, std::string>> headers;
--- a/src/libpomelorouter/answerwriter.h
+++ b/src/libpomelorouter/answerwriter.h
@@ -57,9 +57,6 @@
     /// Bytes that wait for the caller.
     std::size_t pendingBytes() const;
 
-    /// Whether the answer is too long to be collected.
-    bool tooLong() const;
-
 private:
     void begin(EventStreamAnswer &answer);
     void endStream(EventStreamAnswer &answer, std::string lastEvent);
