--- a/testsuite/ctl/run.sh
+++ b/testsuite/ctl/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# pomeloctl on files: examples are valid, a broken file lists every error with its line, differences name the field.
+# Settings and declarations: examples are valid, settings of another program are refused, a broken file lists every error with its line, differences name the field.
 set -euo pipefail
 programs=$(cd "$1" && pwd)
 cd "$(dirname "$0")"
@@ -8,6 +8,9 @@
     for deployment in clipback kandy; do
         "$programs/pomeloctl" validate "$examples/$deployment.yaml" --output json
     done
+    "$programs/pomelo-router" --settings "$examples/router.yaml" --check
+    "$programs/pomelo-controller" --settings "$examples/controller.yaml" --check
+    "$programs/pomelo-router" --settings "$examples/controller.yaml" --check 2>&1 | grep -c 'unknown key\|is required'
     "$programs/pomeloctl" validate broken.yaml 2>&1 || echo "exit=$?"
     "$programs/pomeloctl" diff "$examples/clipback.yaml" <(sed '0,/worth: 5/s//worth: 6/' "$examples/clipback.yaml")
     "$programs/pomeloctl" status 2>&1 || echo "exit=$?"
