Tell the whole region at once when a backend server's state changes

Cause: in a region of 53 instances a round of load reports takes 3.9 s, and a server that leaves may get no new work after a few seconds. Change: the home sends its report to all instances of the region when the state of one of its servers changes.

--- a/src/include/pomeloport/coordination/backendtable.h
+++ b/src/include/pomeloport/coordination/backendtable.h
@@ -56,7 +56,7 @@
     /// The part of the own report that tells peers of the servers whose home this instance is.
     std::vector<control::EngineLoad> ownLoads(Instant now) const;
 
-    /// Whether a state changed since the last call; news of this kind is passed on at once.
+    /// Whether the state of a server whose home this instance is changed since the last call; peers hear of it at once.
     bool takeStateChange();
 
 private:
--- a/src/include/pomeloport/coordination/controlplane.h
+++ b/src/include/pomeloport/coordination/controlplane.h
@@ -46,6 +46,8 @@
 struct OwnReport
 {
     control::InstanceReport report;
+    /// Send it to all instances of the region at once, because a server's state changed.
+    bool urgent = false;
 };
 
 /// Whether this instance wants no new callers: it does not admit, drains, or its router does not run.
--- a/src/include/pomeloport/coordination/loadspread.h
+++ b/src/include/pomeloport/coordination/loadspread.h
@@ -61,6 +61,9 @@
     /// Replaces the own report; ages of engines count from now. The sequence number is set here.
     void setOwn(control::InstanceReport report, Instant now);
 
+    /// The own report for all other instances, for changes that cannot wait for a round.
+    std::vector<LoadDatagram> announceOwn() const;
+
     /// Takes reports from a peer.
     void receive(const control::LoadShare &share, Instant now);
 
--- a/src/libpomelofake/controlnetwork_test.cpp
+++ b/src/libpomelofake/controlnetwork_test.cpp
@@ -180,6 +180,23 @@
     CHECK(network.nodes()[0].plane->instances().size() == 9);
 }
 
+TEST_CASE("an urgent report reaches every instance without waiting for a round")
+{
+    ControlNetwork network(small());
+    bringUp(network);
+    control::InstanceReport report;
+    report.configVersion = 77;
+    const auto &sender = network.nodes()[0];
+    auto actions = sender.plane->handle(controlevent::OwnReport{report, true}, network.now());
+    std::size_t sent = 0;
+    for (const auto &action : actions) {
+        const auto *message = std::get_if<controlaction::Send>(&action);
+        const auto *share = message ? std::get_if<control::LoadShare>(&message->message) : nullptr;
+        sent += share && share->reports.at(0).configVersion == 77 ? 1 : 0;
+    }
+    CHECK(sent == 8);
+}
+
 TEST_CASE("load reports of all instances reach all instances, also when datagrams are lost")
 {
     ControlNetwork network(small(0.1, 5));
--- a/src/libpomeloport/coordination/backendtable.cpp
+++ b/src/libpomeloport/coordination/backendtable.cpp
@@ -82,7 +82,7 @@
     if (entry.failures >= FailuresUntilGone) {
         state = BackendState::Gone;
     }
-    m_stateChanged = m_stateChanged || state != entry.state;
+    m_stateChanged = m_stateChanged || (entry.home && state != entry.state);
     entry.state = state;
 }
 
--- a/src/libpomeloport/coordination/controlplane.cpp
+++ b/src/libpomeloport/coordination/controlplane.cpp
@@ -73,6 +73,12 @@
 void ControlPlane::on(const controlevent::OwnReport &event, Instant now)
 {
     m_load.setOwn(event.report, now);
+    if (!event.urgent) {
+        return;
+    }
+    for (auto &datagram : m_load.announceOwn()) {
+        m_actions.emplace_back(controlaction::Send{std::move(datagram.address), std::move(datagram.share)});
+    }
 }
 
 void ControlPlane::on(const controlevent::Leaving &event, Instant now)
--- a/src/libpomeloport/coordination/loadspread.cpp
+++ b/src/libpomeloport/coordination/loadspread.cpp
@@ -52,6 +52,18 @@
     held = {std::move(report), now};
 }
 
+std::vector<LoadDatagram> LoadSpread::announceOwn() const
+{
+    std::vector<LoadDatagram> result;
+    const auto own = m_reports.find(m_settings.self.instance);
+    for (const auto &member : m_ring) {
+        if (own != m_reports.end() && member.instance != m_settings.self.instance) {
+            result.push_back({member.datagramAddress, {{own->second.report}}});
+        }
+    }
+    return result;
+}
+
 void LoadSpread::receive(const LoadShare &share, Instant now)
 {
     for (const auto &report : share.reports) {
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -171,9 +171,10 @@
         expireRouterQueries(now);
         checkStop(now);
     }
-    if (now >= m_nextReport || m_backends.takeStateChange()) {
+    const bool stateChanged = m_backends.takeStateChange();
+    if (now >= m_nextReport || stateChanged) {
         m_nextReport = now + ReportInterval;
-        sendOwnReport(now);
+        sendOwnReport(now, stateChanged);
     }
     if (now >= m_nextList && !m_listing) {
         readList(now);
@@ -292,14 +293,14 @@
     }
 }
 
-void Controller::sendOwnReport(Instant now)
+void Controller::sendOwnReport(Instant now, bool urgent)
 {
     control::InstanceReport report;
     report.configVersion = m_configVersion;
     report.load = static_cast<std::uint8_t>(std::clamp(m_routerStatus.load, 0.0, 1.0) * LoadUnits);
     report.engines = m_backends.ownLoads(now);
     report.listedLeaving.assign(m_listedLeaving.begin(), m_listedLeaving.end());
-    feed(controlevent::OwnReport{std::move(report)});
+    feed(controlevent::OwnReport{std::move(report), urgent});
 }
 
 /// Passes the reports of peers on to the table of backend servers, each once.
--- a/src/pomelocontroller/controller.h
+++ b/src/pomelocontroller/controller.h
@@ -71,7 +71,7 @@
     void instancesChanged();
     bool isLongDead(const std::string &instance) const;
     void releaseGroupsOfDead(pomeloport::Instant now);
-    void sendOwnReport(pomeloport::Instant now);
+    void sendOwnReport(pomeloport::Instant now, bool urgent);
     void hearReports();
     void updateLeaving(pomeloport::Instant now);
 
