--- a/src/faultmatrix/backendhost.cpp
+++ b/src/faultmatrix/backendhost.cpp
@@ -181,7 +181,8 @@
     if (found == m_connections.end() || found->second.broken) {
         return;
     }
-    if (!chunkFaultHits(stream)) {
+    const bool segment = std::holds_alternative<event::SegmentReady>(event);
+    if (segment || !chunkFaultHits(stream)) {
         deliver(stream, event, NetworkDelay);
         return;
     }
@@ -206,8 +207,8 @@
         return;
     }
     case Fault::ChunkLate:
-        if (!m_lateStream || *m_lateStream == stream) {
-            m_lateStream = stream;
+        if (m_world.lateStream().value_or(stream) == stream) {
+            m_world.lateStream() = stream;
             ++m_disturbed;
             found->second.process->post(Lateness, [sink = found->second.sink, event] { sink(event); });
             return;
@@ -347,7 +348,7 @@
 void BackendHost::armChunkFault(Fault fault, std::size_t sending)
 {
     m_chunkFault = {fault, sending};
-    m_lateStream.reset();
+    m_world.lateStream().reset();
 }
 
 std::size_t BackendHost::disturbed() const
--- a/src/faultmatrix/catalogue.cpp
+++ b/src/faultmatrix/catalogue.cpp
@@ -59,6 +59,8 @@
 {
     switch (fault) {
     case Fault::BackendStalls:
+    // All servers of the kind refuse, for longer than the retry budget lasts.
+    case Fault::BackendRefuses:
     case Fault::RouterDies:
     case Fault::InstancePauses:
     case Fault::Partition:
--- a/src/faultmatrix/controller.cpp
+++ b/src/faultmatrix/controller.cpp
@@ -134,6 +134,11 @@
     }
 }
 
+bool Controller::leaving() const
+{
+    return m_leaving;
+}
+
 void Controller::perform(const controlaction::Send &action)
 {
     m_world.datagram(m_id, action.address, action.message);
--- a/src/faultmatrix/controller.h
+++ b/src/faultmatrix/controller.h
@@ -37,6 +37,7 @@
 
     /// Leaves discovery; leases go back once the router is idle.
     void leave();
+    bool leaving() const;
     void releaseLeases();
 
 private:
--- a/src/faultmatrix/hosts.h
+++ b/src/faultmatrix/hosts.h
@@ -146,7 +146,6 @@
     /// When pump() is due.
     Instant m_pumpAt = Instant::max();
     std::optional<std::pair<Fault, std::size_t>> m_chunkFault;
-    std::optional<pomeloport::StreamAddress> m_lateStream;
     std::size_t m_disturbed = 0;
 };
 
--- a/src/faultmatrix/world.h
+++ b/src/faultmatrix/world.h
@@ -103,6 +103,9 @@
                    const Task &answered,
                    const Task &unreachable);
 
+    /// The one attempt whose chunks are late.
+    std::optional<pomeloport::StreamAddress> &lateStream();
+
     /// Datagrams and messages that a fault touched.
     std::size_t disturbed() const;
 
@@ -123,6 +126,7 @@
     StepHook m_stepHook;
     std::map<std::string, ConnectionFault> m_connectionFaults;
     std::map<std::string, bool> m_cut;
+    std::optional<pomeloport::StreamAddress> m_lateStream;
     double m_datagramLoss = 0;
     std::size_t m_disturbed = 0;
 };
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -144,6 +144,8 @@
 
 void FlowContext::apply(const WaitUntil &wait)
 {
+    // When nothing is left but servers that failed or refused before, these are tried again.
+    m_avoid.clear();
     m_wakeAt = std::max(wait.at, m_now + MinimumWait);
     m_phase = FlowPhase::Waiting;
 }
--- a/src/libpomeloport/coordination/requestflow_test.cpp
+++ b/src/libpomeloport/coordination/requestflow_test.cpp
@@ -275,3 +275,23 @@
     CHECK(driver.avoid.empty());
     CHECK(driver.outcomes() == 0);
 }
+
+TEST_CASE("request flow tries avoided servers again when no other one is left")
+{
+    std::vector<std::vector<std::string>> asked;
+    const auto choose = [&asked](const RouteQuery &query, Instant now) -> RouteDecision {
+        asked.push_back(query.avoid);
+        if (!query.avoid.empty()) {
+            return WaitUntil{now + 50ms};
+        }
+        return Route{{{"e1", 0, 0}}, EnginePriority::Normal, 0};
+    };
+    RequestFlow flow(
+        flowSpec(false), {{"r1", 1}, 1, 0}, {}, choose, [](Instant) { return true; }, 7);
+    flow.handle(event::Begin{}, Start);
+    flow.handle(event::AttemptRefused{1, RefusalCode::Full}, Start);
+    flow.handle(event::TimerFired{}, Start + 100ms);
+    flow.handle(event::TimerFired{}, Start + 200ms);
+    CHECK(asked == std::vector<std::vector<std::string>>{{}, {"e1"}, {}});
+    CHECK(flow.stateName() == "attempting");
+}
