--- a/src/libpomeloport/coordination/memberlist.cpp
+++ b/src/libpomeloport/coordination/memberlist.cpp
@@ -56,14 +56,16 @@
     spread(m_self.id.instance);
 }
 
-void MemberList::setLeaving(bool leaving)
+bool MemberList::setLeaving(bool leaving)
 {
     const auto state = leaving ? InstanceState::Leaving : InstanceState::Alive;
-    if (m_self.state != state) {
-        m_self.state = state;
-        ++m_self.revision;
-        spread(m_self.id.instance);
+    if (m_self.state == state) {
+        return false;
     }
+    m_self.state = state;
+    ++m_self.revision;
+    spread(m_self.id.instance);
+    return true;
 }
 
 void MemberList::refute(std::uint32_t revision)
@@ -167,11 +169,21 @@
     return result;
 }
 
+std::vector<std::string> MemberList::suspects() const
+{
+    return inState(InstanceState::Suspect);
+}
+
 std::vector<std::string> MemberList::dead() const
+{
+    return inState(InstanceState::Dead);
+}
+
+std::vector<std::string> MemberList::inState(InstanceState state) const
 {
     std::vector<std::string> result;
     for (const auto &[name, entry] : m_entries) {
-        if (entry.record.state == InstanceState::Dead) {
+        if (entry.record.state == state) {
             result.push_back(name);
         }
     }
--- a/src/libpomeloport/coordination/memberlist.h
+++ b/src/libpomeloport/coordination/memberlist.h
@@ -34,8 +34,8 @@
         return m_self;
     }
 
-    /// Changes the own state and raises the revision when it differs.
-    void setLeaving(bool leaving);
+    /// Changes the own state and raises the revision when it differs. Returns whether it did.
+    bool setLeaving(bool leaving);
 
     /// Raises the own revision above one that somebody holds against this instance.
     void refute(std::uint32_t revision);
@@ -58,6 +58,9 @@
     /// Names of live and suspected peers, by name.
     std::vector<std::string> peers() const;
 
+    /// Names of suspected peers.
+    std::vector<std::string> suspects() const;
+
     /// Names of dead peers.
     std::vector<std::string> dead() const;
 
@@ -89,6 +92,7 @@
         Instant deadline{};
     };
 
+    std::vector<std::string> inState(InstanceState state) const;
     void put(const control::MemberRecord &record, Instant now);
     std::uint32_t transmissions() const;
 
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -15,11 +15,13 @@
 namespace {
 
 /// Time between two ticks of the control decisions, and between those of what may wait longer.
-constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds TickInterval{40};
 constexpr Duration SlowInterval = std::chrono::milliseconds(50);
 constexpr Duration ReportInterval = std::chrono::milliseconds(250);
 /// Time that a lost router is given to come back before the instance leaves discovery.
 constexpr Duration RouterGrace = std::chrono::seconds(2);
+/// Time after its death from which an instance whose router takes no connection counts as gone for good.
+constexpr Duration OwnerGoneAfter = std::chrono::seconds(5);
 /// Readings of the platform's list by watchers, by an instance without peers, and by the others.
 constexpr std::chrono::milliseconds WatcherListInterval{2'000};
 constexpr std::chrono::milliseconds LonelyListInterval{3'000};
@@ -28,8 +30,6 @@
 constexpr Duration StopGrace = std::chrono::seconds(1);
 constexpr Duration StopPatience = std::chrono::seconds(5);
 constexpr std::chrono::milliseconds FetchTimeout{1'000};
-/// Regions with more backend servers than this leave cache events to the servers' homes.
-constexpr std::size_t SharedEventServers = 32;
 constexpr double LoadUnits = 255;
 
 control::MemberRecord recordOf(const ControllerSettings &settings, std::uint64_t incarnation)
@@ -67,7 +67,7 @@
     , m_http(std::make_shared<HttpClient>(context))
     , m_platform(std::make_shared<PlatformClient>(context, settings.platform, settings.platformTimeout))
     , m_plane(controlSettings(recordOf(settings, incarnation), m_random()), steadyNow())
-    , m_backends(m_self)
+    , m_backends(m_self, settings.region)
     , m_groups(incarnation)
     , m_timer(context)
     , m_routerLostAt(steadyNow() - RouterGrace)
@@ -110,7 +110,8 @@
     polled.cacheChanged = [this](const link::CacheUpdate &update) {
         cacheChanged(update);
     };
-    m_poller = std::make_shared<BackendPoller>(m_http, m_settings.pollInterval, m_settings.pollTimeout, polled);
+    m_poller = std::make_shared<BackendPoller>(
+        m_http, PollLimits{m_settings.pollInterval, m_settings.sweepInterval}, m_settings.pollTimeout, polled);
 
     RouterLink::Handlers routed;
     routed.connected = [this] {
@@ -163,6 +164,7 @@
         m_nextSlow = now + SlowInterval;
         m_poller->tick(std::chrono::steady_clock::now());
         m_owner->tick(now);
+        releaseGroupsOfDead(now);
         m_groups.tick(now);
         hearReports();
         updateLeaving(now);
@@ -262,6 +264,9 @@
         }
         if (view.state != InstanceState::Dead) {
             addresses.insert(view.peerAddress);
+            m_deadSince.erase(view.id.instance);
+        } else {
+            m_deadSince.try_emplace(view.id.instance, steadyNow());
         }
     }
     m_instances = std::move(instances);
@@ -271,6 +276,22 @@
     m_snapshotWanted = true;
 }
 
+bool Controller::isLongDead(const std::string &instance) const
+{
+    const auto found = m_deadSince.find(instance);
+    return found != m_deadSince.end() && steadyNow() - found->second >= OwnerGoneAfter;
+}
+
+/// Frees the reservations of instances that have been dead for long. An engine that is in use after all refuses.
+void Controller::releaseGroupsOfDead(Instant now)
+{
+    for (const auto &[instance, since] : m_deadSince) {
+        if (isLongDead(instance)) {
+            m_groups.instanceGone(instance, now);
+        }
+    }
+}
+
 void Controller::sendOwnReport(Instant now)
 {
     control::InstanceReport report;
@@ -356,8 +377,9 @@
 {
     const auto home = m_backends.homeServers();
     std::vector<BackendServer> others;
-    if (m_declarations.backends.size() <= SharedEventServers) {
-        others = m_declarations.backends;
+    const auto all = m_backends.servers();
+    if (all.size() <= SharedEventServers) {
+        others = all;
         std::erase_if(others, [&](const auto &server) {
             return std::ranges::find(home, server.name, &BackendServer::name) != home.end();
         });
