Recognise a fenced order by its status 409

Engines answer a fenced order with 409, as protocol/enginemessages.h says; the controller looked for the refusal under 429 and 503 only and took a fenced order for a plain refusal, so it went on ordering under a lease that was lost.

--- a/src/pomelocontroller/engineowner.cpp
+++ b/src/pomelocontroller/engineowner.cpp
@@ -15,8 +15,7 @@
 namespace {
 
 constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusTooManyRequests = 429;
-constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusConflict = 409;
 
 OrderResult resultOf(const std::optional<HttpReply> &reply, bool sent)
 {
@@ -26,9 +25,9 @@
     if (reply->status == StatusOk) {
         return OrderResult::Accepted;
     }
-    if (reply->status == StatusTooManyRequests || reply->status == StatusUnavailable) {
-        const auto refusal = decodeRefusal(reply->body);
-        return refusal && refusal->code == RefusalCode::Fenced ? OrderResult::Fenced : OrderResult::Refused;
+    const auto refusal = reply->status == StatusConflict ? decodeRefusal(reply->body) : std::nullopt;
+    if (refusal && refusal->code == RefusalCode::Fenced) {
+        return OrderResult::Fenced;
     }
     return OrderResult::Refused;
 }
