--- a/src/benchdecisions/suite.cpp
+++ b/src/benchdecisions/suite.cpp
@@ -23,7 +23,7 @@
 constexpr double WorthOfBaselines = 1.3;
 
 constexpr std::array Baselines{PolicyKind::RoundRobin, PolicyKind::LeastLoaded, PolicyKind::TwoChoices};
-constexpr std::array SharingPolicies{PolicyKind::TwoChoices,
+constexpr std::array SharingPolicies{PolicyKind::LocalChoice,
                                      PolicyKind::HomeGranted,
                                      PolicyKind::TryNext,
                                      PolicyKind::Ours};
@@ -248,7 +248,11 @@
         auto metric = std::string("crest_worth_over_").append(nameOf(policy));
         const auto line = lineOf(item, std::move(metric), "ours", ours / found->second.worthAtCrest);
         const bool loses = found->second.worthAtCrest < 0.999 * found->second.worthOffered;
-        aimed &&loses ? report.atLeast(line, WorthOfBaselines, true) : report.info(line);
+        if (aimed && loses) {
+            report.atLeast(line, WorthOfBaselines, true);
+        } else {
+            report.info(line);
+        }
     }
 }
 
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -216,7 +216,7 @@
     const auto consider = [&](std::uint32_t position) {
         auto candidate = examine(query, pool, position, now);
         if (candidate.exclusion == Exclusion::None && (!chosen || candidate.score < chosen->score)) {
-            chosen = std::move(candidate);
+            chosen = candidate;
         }
     };
     for (const auto position : sample(*query.request, pool)) {
