Drop a kept exchange before its server in the HTTP test

Cause: under the thread sanitizer one test kept an exchange beyond the event loop that it belongs to.

--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -113,6 +113,7 @@
     std::promise<bool> written;
     kept->write("late", [&written](bool ok) { written.set_value(ok); });
     REQUIRE_FALSE(written.get_future().get());
+    kept = nullptr;
 }
 
 TEST_CASE("http exchange dropped without an answer closes its connection")
