Separate the router test of refusals from that of silence

Placement keeps an engine that refused as full out of choice, so the request never reached it; its verdict was true, the test's order was wrong. Ruled out: a false not_run, since the engine counts no call. Change: one case for each, and a third that demands not_run exactly when the engine took no call.

--- a/src/libpomelorouter/router_test.cpp
+++ b/src/libpomelorouter/router_test.cpp
@@ -52,6 +52,13 @@
         m_kept.clear();
     }
 
+    /// Calls that were taken and left unanswered.
+    std::size_t silentCalls() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_kept.size();
+    }
+
     int calls() const
     {
         const std::lock_guard lock(m_mutex);
@@ -183,13 +190,27 @@
 
 TEST_CASE("router ends a request whose engine refuses or stays silent by its deadline")
 {
+    constexpr const char *Full = R"({"kind":"full","prompt":"x","max_tokens":1,"deadline_ms":300})";
+    constexpr const char *Silent = R"({"kind":"silent","prompt":"x","max_tokens":1,"deadline_ms":300})";
     RouterFixture fixture;
-    const auto full =
-        fixture.call("POST", "/v1/requests", R"({"kind":"full","prompt":"x","max_tokens":1,"deadline_ms":300})");
-    CHECK_THAT(full.body, Contains(R"("verdict":"not_run")"));
-    const auto silent =
-        fixture.call("POST", "/v1/requests", R"({"kind":"silent","prompt":"x","max_tokens":1,"deadline_ms":300})");
-    CHECK_THAT(silent.body, Contains(R"("verdict":"may_have_run")"));
+    SECTION("refused")
+    {
+        CHECK_THAT(fixture.call("POST", "/v1/requests", Full).body, Contains(R"("verdict":"not_run")"));
+        CHECK(fixture.engine.calls() > 0);
+        CHECK(fixture.engine.silentCalls() == 0);
+    }
+    SECTION("silent")
+    {
+        CHECK_THAT(fixture.call("POST", "/v1/requests", Silent).body, Contains(R"("verdict":"may_have_run")"));
+        CHECK(fixture.engine.silentCalls() == 1);
+    }
+    SECTION("silent behind refusals, which may keep the engine out of choice")
+    {
+        fixture.call("POST", "/v1/requests", Full);
+        const auto silent = fixture.call("POST", "/v1/requests", Silent).body;
+        const bool toldNotRun = silent.find(R"("verdict":"not_run")") != std::string::npos;
+        CHECK(toldNotRun == (fixture.engine.silentCalls() == 0));
+    }
 }
 
 TEST_CASE("router serves operators only with their token")
