--- a/src/include/pomeloport/coordination/configspread.h
+++ b/src/include/pomeloport/coordination/configspread.h
@@ -52,9 +52,10 @@
     Duration quietTime = std::chrono::milliseconds(1000);
     /// Time without any word from peers and store after which the instance stops admitting.
     Duration silenceLimit = std::chrono::milliseconds(2400);
-    /// Delays between tries at a store that does not answer.
+    /// Delays between tries at a store that does not answer; half as long again with jitter, which has to stay below
+    /// the time in which a change is in force.
     Duration firstStoreRetry = std::chrono::milliseconds(500);
-    Duration maximumStoreRetry = std::chrono::seconds(8);
+    Duration maximumStoreRetry = std::chrono::milliseconds(1500);
     std::uint64_t seed = 0;
 };
 
