Compare conflicting edits by the version that they replaced

Cause: with a reset connection one of the two editors read a later version, and the matrix called both edits of one. Change: two accepted edits are a violation when they replaced the same version.

--- a/src/faultmatrix/traffic.cpp
+++ b/src/faultmatrix/traffic.cpp
@@ -239,7 +239,9 @@
     }
     m_world.store().call(m_operator, "operator", update, [=, this](const StoreReply &reply) {
         if (!rebase) {
-            m_editResults.push_back(reply.status);
+            if (reply.status == StoreStatus::Ok) {
+                m_replacedVersions.push_back(update.ifVersion);
+            }
             return;
         }
         if (reply.status != StoreStatus::Ok) {
@@ -293,7 +295,7 @@
         }
     }
     checkResends();
-    if (m_editResults.size() == 2 && m_editResults[0] == StoreStatus::Ok && m_editResults[1] == StoreStatus::Ok) {
+    if (m_replacedVersions.size() == 2 && m_replacedVersions[0] == m_replacedVersions[1]) {
         m_world.truth().violate("two conflicting edits of one version were both accepted");
     }
 }
--- a/src/faultmatrix/traffic.h
+++ b/src/faultmatrix/traffic.h
@@ -62,7 +62,8 @@
     bool m_settling = false;
     bool m_left = false;
     std::set<std::size_t> m_finalSendings;
-    std::vector<pomeloport::StoreStatus> m_editResults;
+    /// Versions that a conflicting edit replaced.
+    std::vector<std::uint64_t> m_replacedVersions;
 };
 
 } // namespace faultmatrix
