--- a/src/benchcontrol/allocations.cpp
+++ b/src/benchcontrol/allocations.cpp
@@ -5,7 +5,8 @@
 #include <malloc.h>
 #include <new>
 
-namespace {
+namespace
+{
 
 std::atomic<std::size_t> allocated;
 
--- a/src/benchcontrol/allocations.h
+++ b/src/benchcontrol/allocations.h
@@ -2,7 +2,8 @@
 
 #include <cstddef>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 /// Bytes allocated by operator new at present, as the allocator hands them out.
 std::size_t allocatedBytes();
--- a/src/benchcontrol/fleet.cpp
+++ b/src/benchcontrol/fleet.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 using namespace pomelofake;
 
--- a/src/benchcontrol/fleet.h
+++ b/src/benchcontrol/fleet.h
@@ -7,7 +7,8 @@
 #include <vector>
 
 /// The fleets that the bench runs and the declarations that they serve.
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 /// Shape of one fleet.
 struct Fleet
--- a/src/benchcontrol/main.cpp
+++ b/src/benchcontrol/main.cpp
@@ -6,7 +6,8 @@
 #include <iostream>
 
 /// Measures the control decisions on a virtual network: traffic, store calls, times and memory at several fleet sizes.
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/benchcontrol/memory.cpp
+++ b/src/benchcontrol/memory.cpp
@@ -8,13 +8,15 @@
 #include <chrono>
 #include <unordered_set>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 using namespace pomelofake;
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 /// Instances and engines of one region at the target.
 constexpr std::size_t TargetRegions = 7;
--- a/src/benchcontrol/pollcost.cpp
+++ b/src/benchcontrol/pollcost.cpp
@@ -3,11 +3,13 @@
 #include "pomeloport/coordination/pollplan.h"
 #include "pomeloport/protocol/enginemessages.h"
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// HTTP request and response heads, and TCP and IP headers of the segments and acknowledgements of one call.
 constexpr double CallOverheadBytes = 130 + 110 + 4 * 52;
--- a/src/benchcontrol/pollcost.h
+++ b/src/benchcontrol/pollcost.h
@@ -2,7 +2,8 @@
 
 #include <cstddef>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 /// Bytes that the home of some engines exchanges with them each second, both ways, from the sizes of the encoded
 /// messages and the controller's intervals: load reports, cache events and the books for the orphan sweep. In a small
--- a/src/benchcontrol/report.cpp
+++ b/src/benchcontrol/report.cpp
@@ -3,7 +3,8 @@
 #include <iomanip>
 #include <iostream>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 void Report::add(const Figure &figure)
 {
--- a/src/benchcontrol/report.h
+++ b/src/benchcontrol/report.h
@@ -5,7 +5,8 @@
 #include <string>
 
 /// Output of the bench: one line of key=value pairs for each figure.
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 /// One figure with its bound.
 struct Figure
--- a/src/benchcontrol/scenarios.cpp
+++ b/src/benchcontrol/scenarios.cpp
@@ -5,13 +5,15 @@
 #include <algorithm>
 #include <cstdio>
 
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 using namespace pomelofake;
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 /// Time between two edits at 1,900 a day.
 constexpr Duration EditInterval = 45s;
--- a/src/benchcontrol/scenarios.h
+++ b/src/benchcontrol/scenarios.h
@@ -6,7 +6,8 @@
 #include <cstdint>
 
 /// What the bench measures.
-namespace benchcontrol {
+namespace benchcontrol
+{
 
 /// Bounds of the stated target.
 constexpr double ControlBytesPerSecond = 19'000;
--- a/src/benchdecisions/cluster.cpp
+++ b/src/benchdecisions/cluster.cpp
@@ -3,12 +3,14 @@
 #include <algorithm>
 
 /// The engines' side of the simulation: steps, outputs, load reports, cache events and faults.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr Duration ReportInterval = 100ms;
 constexpr Duration CacheEventInterval = 1s;
--- a/src/benchdecisions/decisioncost.cpp
+++ b/src/benchdecisions/decisioncost.cpp
@@ -5,12 +5,14 @@
 #include <chrono>
 #include <memory>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::size_t, 3> FleetSizes{20, 371, 2'600};
 constexpr std::size_t Decisions = 20'000;
--- a/src/benchdecisions/eventqueue.h
+++ b/src/benchdecisions/eventqueue.h
@@ -8,7 +8,8 @@
 #include <utility>
 #include <vector>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// Runs callbacks in order of virtual time; callbacks of one time run in the order in which they were added.
 class EventQueue
--- a/src/benchdecisions/measures.cpp
+++ b/src/benchdecisions/measures.cpp
@@ -6,11 +6,13 @@
 #include <cmath>
 #include <limits>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr double Never = std::numeric_limits<double>::infinity();
 // Time of a full prefill step with and without decoding, in the engine model's default settings.
--- a/src/benchdecisions/measures.h
+++ b/src/benchdecisions/measures.h
@@ -10,7 +10,8 @@
 #include <vector>
 
 /// Figures from runs, and the lines and reports that show them.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// Number of prompt classes.
 constexpr std::size_t PromptClasses = 4;
--- a/src/benchdecisions/policy.cpp
+++ b/src/benchdecisions/policy.cpp
@@ -3,11 +3,13 @@
 #include <algorithm>
 #include <limits>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 // What a home that does not answer looks like to the asking router.
 constexpr double UnknownLoad = std::numeric_limits<double>::max();
--- a/src/benchdecisions/policy.h
+++ b/src/benchdecisions/policy.h
@@ -12,7 +12,8 @@
 #include <vector>
 
 /// The policies that the bench compares.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// How engines are chosen. The first three are plain balancers, which leave all requests in the engines' class Normal;
 /// the others use the engines' classes by prompt length.
--- a/src/benchdecisions/report.cpp
+++ b/src/benchdecisions/report.cpp
@@ -8,9 +8,11 @@
 #include <cstdio>
 #include <fstream>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
-namespace {
+namespace
+{
 
 std::string numberText(double value)
 {
--- a/src/benchdecisions/simulation.cpp
+++ b/src/benchdecisions/simulation.cpp
@@ -4,13 +4,15 @@
 #include <utility>
 
 /// The requests' side of the simulation: decisions, attempts, groups, retries and deadlines.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 using namespace std::chrono_literals;
 using CloseOutcome = action::CloseAttempt::Outcome;
 
-namespace {
+namespace
+{
 
 constexpr std::uint32_t MaximumAttempts = 4;
 constexpr Duration FirstRetryDelay = 20ms;
--- a/src/benchdecisions/simulation.h
+++ b/src/benchdecisions/simulation.h
@@ -18,7 +18,8 @@
 #include <vector>
 
 /// Drives the decision code against engine models and delay queues in virtual time.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// What became of one request.
 struct Outcome
--- a/src/benchdecisions/suite.cpp
+++ b/src/benchdecisions/suite.cpp
@@ -7,12 +7,14 @@
 #include <thread>
 #include <utility>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 // Bounds and aims as stated for the product.
 constexpr double FirstTokenSeconds = 1.1;
--- a/src/benchdecisions/suite.h
+++ b/src/benchdecisions/suite.h
@@ -6,7 +6,8 @@
 #include <string>
 
 /// The suite of scenarios and policies, and the bounds that their figures are held against.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// What to run.
 struct SuiteOptions
--- a/src/benchdecisions/workload.cpp
+++ b/src/benchdecisions/workload.cpp
@@ -8,12 +8,14 @@
 #include <random>
 #include <xxhash.h>
 
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr double LongestPromptTokens = 990'000;
 // A few organisations are large.
--- a/src/benchdecisions/workload.h
+++ b/src/benchdecisions/workload.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 /// Deployments, scenarios and the request traces made from them.
-namespace benchdecisions {
+namespace benchdecisions
+{
 
 /// One of the two deployments.
 struct Deployment
--- a/src/benchrelay/allocations.cpp
+++ b/src/benchrelay/allocations.cpp
@@ -5,9 +5,11 @@
 #include <cstdlib>
 #include <new>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
-namespace {
+namespace
+{
 
 std::atomic<std::size_t> counted{0};
 thread_local bool counting = false;
--- a/src/benchrelay/allocations.h
+++ b/src/benchrelay/allocations.h
@@ -3,7 +3,8 @@
 #include <cstddef>
 
 /// Counts heap memory by the thread that allocated it. The program's operators new and delete do the counting.
-namespace benchrelay {
+namespace benchrelay
+{
 
 /// Makes the calling thread's allocations count, from now on.
 void countAllocationsOfThisThread();
--- a/src/benchrelay/callers.cpp
+++ b/src/benchrelay/callers.cpp
@@ -8,14 +8,16 @@
 #include <array>
 #include <utility>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
-namespace {
+namespace
+{
 
 tcp::endpoint endpointOf(const std::string &address)
 {
--- a/src/benchrelay/callers.h
+++ b/src/benchrelay/callers.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 /// What one caller sends, and how it recognises the last bytes of the answer.
 struct CallerPlan
--- a/src/benchrelay/main.cpp
+++ b/src/benchrelay/main.cpp
@@ -22,9 +22,11 @@
 #include <thread>
 
 /// The program bench-relay: what the router adds between callers and engines.
-namespace benchrelay {
+namespace benchrelay
+{
 
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 using namespace pomeloport;
--- a/src/benchrelay/upstream.cpp
+++ b/src/benchrelay/upstream.cpp
@@ -7,11 +7,13 @@
 #include <algorithm>
 #include <utility>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr std::chrono::milliseconds Tick{1};
 constexpr std::size_t SlotCount = 20;
--- a/src/benchrelay/upstream.h
+++ b/src/benchrelay/upstream.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 /// How the engine of the bench sends its tokens.
 struct UpstreamPlan
--- a/src/benchrelay/worker.cpp
+++ b/src/benchrelay/worker.cpp
@@ -7,7 +7,8 @@
 #include <ctime>
 #include <future>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 Worker::Worker(std::function<void()> first)
     : m_context(1)
--- a/src/benchrelay/worker.h
+++ b/src/benchrelay/worker.h
@@ -6,7 +6,8 @@
 #include <functional>
 #include <thread>
 
-namespace benchrelay {
+namespace benchrelay
+{
 
 /// An event loop on one thread of its own, with the processor time that the thread has used.
 class Worker
--- a/src/fakeengine/enginehost.cpp
+++ b/src/fakeengine/enginehost.cpp
@@ -7,7 +7,8 @@
 
 #include <boost/json.hpp>
 
-namespace fakeengine {
+namespace fakeengine
+{
 
 using pomelofake::ExchangePointer;
 using pomelofake::HttpStatus;
@@ -18,7 +19,8 @@
 using pomeloport::Refusal;
 using pomeloport::RefusalCode;
 
-namespace {
+namespace
+{
 
 constexpr auto SampleInterval = std::chrono::milliseconds(50);
 /// Asks the weight store at most once in this many samples, which is four times a second.
--- a/src/fakeengine/enginehost.h
+++ b/src/fakeengine/enginehost.h
@@ -15,7 +15,8 @@
 #include <string>
 
 /// The HTTP interface of the stand-in engine.
-namespace fakeengine {
+namespace fakeengine
+{
 
 /// Faults that the host adds to the model's outputs and reports.
 struct HostFaults
--- a/src/fakeengine/main.cpp
+++ b/src/fakeengine/main.cpp
@@ -5,7 +5,8 @@
 #include <iostream>
 
 /// A stand-in for a model engine, with the HTTP interface of protocol/enginemessages.h.
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/fakeplatform/main.cpp
+++ b/src/fakeplatform/main.cpp
@@ -5,7 +5,8 @@
 #include <iostream>
 
 /// A stand-in for the platform: object store, instance list and weight store.
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/fakeplatform/platformhost.cpp
+++ b/src/fakeplatform/platformhost.cpp
@@ -6,7 +6,8 @@
 
 #include <charconv>
 
-namespace fakeplatform {
+namespace fakeplatform
+{
 
 using pomelofake::ExchangePointer;
 using pomelofake::HttpStatus;
@@ -19,7 +20,8 @@
 using pomeloport::StoreReply;
 using pomeloport::StoreStatus;
 
-namespace {
+namespace
+{
 
 constexpr std::string_view ObjectsPrefix = "/v1/objects/";
 constexpr std::string_view WatchPrefix = "/v1/watch/";
--- a/src/fakeplatform/platformhost.h
+++ b/src/fakeplatform/platformhost.h
@@ -10,7 +10,8 @@
 #include <string_view>
 
 /// The HTTP interface of the stand-in platform.
-namespace fakeplatform {
+namespace fakeplatform
+{
 
 /// Serves one platform model over HTTP on the clock of the process. Runs on a context with one thread.
 class PlatformHost
--- a/src/fakeservice/main.cpp
+++ b/src/fakeservice/main.cpp
@@ -5,7 +5,8 @@
 #include <iostream>
 
 /// A stand-in for a plain service that counts how often each action ran.
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/fakeservice/servicehost.cpp
+++ b/src/fakeservice/servicehost.cpp
@@ -7,7 +7,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-namespace fakeservice {
+namespace fakeservice
+{
 
 using pomelofake::ExchangePointer;
 using pomelofake::HttpStatus;
@@ -16,7 +17,8 @@
 using pomelofake::replyJson;
 using pomeloport::RefusalCode;
 
-namespace {
+namespace
+{
 
 void refuse(const ExchangePointer &exchange, RefusalCode code)
 {
--- a/src/fakeservice/servicehost.h
+++ b/src/fakeservice/servicehost.h
@@ -10,7 +10,8 @@
 #include <string>
 
 /// The HTTP interface of the stand-in plain service.
-namespace fakeservice {
+namespace fakeservice
+{
 
 /// Behaviour and faults of the service.
 struct ServiceSettings
--- a/src/faultmatrix/backendhost.cpp
+++ b/src/faultmatrix/backendhost.cpp
@@ -5,9 +5,11 @@
 
 #include <set>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
-namespace {
+namespace
+{
 
 /// Time that a plain service takes for a call.
 constexpr Duration ServiceTime = std::chrono::milliseconds(300);
--- a/src/faultmatrix/catalogue.cpp
+++ b/src/faultmatrix/catalogue.cpp
@@ -1,8 +1,10 @@
 #include "catalogue.h"
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view NoStream = "no chunk is under way at this step";
 constexpr std::string_view AlreadySent = "the call was sent before this step";
--- a/src/faultmatrix/catalogue.h
+++ b/src/faultmatrix/catalogue.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 /// The data table of the fault matrix: faults, steps, kinds of work, and which combinations cannot exist.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// What goes wrong. Each fault heals by itself after a while.
 enum class Fault {
--- a/src/faultmatrix/controller.cpp
+++ b/src/faultmatrix/controller.cpp
@@ -6,11 +6,13 @@
 
 #include <boost/json.hpp>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr Duration TickInterval = std::chrono::milliseconds(50);
 constexpr Duration PollInterval = std::chrono::milliseconds(250);
--- a/src/faultmatrix/controller.h
+++ b/src/faultmatrix/controller.h
@@ -15,7 +15,8 @@
 #include <set>
 #include <string>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 class World;
 
--- a/src/faultmatrix/controlleractions.cpp
+++ b/src/faultmatrix/controlleractions.cpp
@@ -2,11 +2,13 @@
 #include "world.h"
 
 /// Orders, sweep and group coordination of a run's controller.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Loads that the weight store allows each minute; plenty, so that a run can be short.
 constexpr double LoadsPerMinute = 600;
--- a/src/faultmatrix/hosts.h
+++ b/src/faultmatrix/hosts.h
@@ -16,7 +16,8 @@
 #include <vector>
 
 /// The platform, the engines and the plain services of a run, behind connections that can fail.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 class World;
 
--- a/src/faultmatrix/injector.cpp
+++ b/src/faultmatrix/injector.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using pomeloport::nameOf;
 
-namespace {
+namespace
+{
 
 constexpr Duration FaultTime = std::chrono::seconds(8);
 constexpr Duration BackendRestart = std::chrono::seconds(4);
--- a/src/faultmatrix/injector.h
+++ b/src/faultmatrix/injector.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// Makes faults happen at a step, heals them, and tells whether they touched anything.
 class Injector
--- a/src/faultmatrix/main.cpp
+++ b/src/faultmatrix/main.cpp
@@ -6,7 +6,8 @@
 #include <iostream>
 
 /// Runs the fault matrix: every fault at every step, pairs of faults, random schedules, and mutants.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 int runMatrix(std::uint64_t seed, bool pairs);
 int runMutants(std::uint64_t seed);
--- a/src/faultmatrix/matrix.cpp
+++ b/src/faultmatrix/matrix.cpp
@@ -9,12 +9,14 @@
 #include <set>
 
 /// The table: which runs it takes, and the lines that it prints.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using pomeloport::nameOf;
 using pomeloport::valueOf;
 
-namespace {
+namespace
+{
 
 /// Sums of a set of cells.
 struct Totals
--- a/src/faultmatrix/mutants.h
+++ b/src/faultmatrix/mutants.h
@@ -3,7 +3,8 @@
 #include "pomeloport/nametable.h"
 
 /// Mistakes built in on purpose, to prove that the checks can fail.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// One mistake. The hosts of the run make it; the code under test is as it is.
 enum class Mutant {
--- a/src/faultmatrix/router.cpp
+++ b/src/faultmatrix/router.cpp
@@ -2,11 +2,13 @@
 
 #include "world.h"
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// A router without news from its controller for this long does not know the configuration in force.
 constexpr Duration SnapshotLifetime = std::chrono::milliseconds(2500);
--- a/src/faultmatrix/router.h
+++ b/src/faultmatrix/router.h
@@ -14,7 +14,8 @@
 #include <string>
 #include <vector>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 class World;
 
--- a/src/faultmatrix/routeractions.cpp
+++ b/src/faultmatrix/routeractions.cpp
@@ -5,11 +5,13 @@
 #include "pomeloport/coordination/rendezvous.h"
 
 /// How the router of a run carries out the actions of request lifecycles and claims.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr Duration GroupRetry = std::chrono::seconds(1);
 
--- a/src/faultmatrix/runner.cpp
+++ b/src/faultmatrix/runner.cpp
@@ -8,11 +8,13 @@
 #include <atomic>
 #include <thread>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr Duration WarmUp = std::chrono::seconds(5);
 /// Time in which faults happen and heal.
--- a/src/faultmatrix/runner.h
+++ b/src/faultmatrix/runner.h
@@ -9,7 +9,8 @@
 #include <string_view>
 #include <vector>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// One run: faults that happen at a step of one kind of work.
 struct Cell
--- a/src/faultmatrix/storehost.cpp
+++ b/src/faultmatrix/storehost.cpp
@@ -1,9 +1,11 @@
 #include "hosts.h"
 #include "world.h"
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
-namespace {
+namespace
+{
 
 /// Time after which a caller of the store gives up on a reply, beside the wait of a watch.
 constexpr Duration StoreTimeout = std::chrono::seconds(1);
--- a/src/faultmatrix/traffic.cpp
+++ b/src/faultmatrix/traffic.cpp
@@ -2,11 +2,13 @@
 
 #include <boost/json.hpp>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr Duration ObservedDelay = std::chrono::seconds(1);
 constexpr Duration ApplyDelay = std::chrono::milliseconds(1500);
--- a/src/faultmatrix/traffic.h
+++ b/src/faultmatrix/traffic.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// Callers and operators of a run: requests in the background, the observed request, resends of actions whose outcome
 /// is not known, and a change of the configuration.
--- a/src/faultmatrix/truth.cpp
+++ b/src/faultmatrix/truth.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using pomeloport::nameOf;
 
-namespace {
+namespace
+{
 
 /// Time after which a leaving server gets no new work and a configuration is in force.
 constexpr Duration SpreadTime = std::chrono::seconds(3);
--- a/src/faultmatrix/truth.h
+++ b/src/faultmatrix/truth.h
@@ -15,7 +15,8 @@
 
 /// What really happened in a run, against which the invariants are checked. Only the checks read it; the code under
 /// test never does.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using pomeloport::OwnerId;
 using pomeloport::StreamAddress;
--- a/src/faultmatrix/virtualclock.cpp
+++ b/src/faultmatrix/virtualclock.cpp
@@ -2,9 +2,11 @@
 
 #include <cstdio>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
-namespace {
+namespace
+{
 
 /// Calendar time at the clock's start.
 constexpr pomeloport::WallTime StartOfCalendar{std::chrono::hours(24 * 365 * 50)};
--- a/src/faultmatrix/virtualclock.h
+++ b/src/faultmatrix/virtualclock.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// Time and processes of the fault matrix: one queue of tasks on a virtual clock, in order of time and of arrival.
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 using pomeloport::Duration;
 using pomeloport::Instant;
--- a/src/faultmatrix/world.cpp
+++ b/src/faultmatrix/world.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <array>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
-namespace {
+namespace
+{
 
 constexpr std::array<std::string_view, 4> EngineNames{"e1", "e2", "e3", "e4"};
 constexpr std::array<std::string_view, 2> ServiceNames{"s1", "s2"};
--- a/src/faultmatrix/world.h
+++ b/src/faultmatrix/world.h
@@ -18,7 +18,8 @@
 #include <string>
 #include <vector>
 
-namespace faultmatrix {
+namespace faultmatrix
+{
 
 /// Kind and name of the configuration in the platform's store.
 constexpr std::string_view ConfigKind = "config";
--- a/src/include/pomelofake/answer.h
+++ b/src/include/pomelofake/answer.h
@@ -5,7 +5,8 @@
 #include <string_view>
 
 /// The deterministic answers of the stand-ins, so that a load tool can check every answer it receives.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// What determines the answer of a stand-in engine.
 struct AnswerSource
--- a/src/include/pomelofake/answercheck.h
+++ b/src/include/pomelofake/answercheck.h
@@ -6,7 +6,8 @@
 #include <vector>
 
 /// Checks answers against what the stand-ins must have produced.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Follows one answer chunk by chunk. Several answers may be right while a configuration changes; each chunk must then
 /// fit one that all earlier chunks fitted.
--- a/src/include/pomelofake/controlnetwork.h
+++ b/src/include/pomelofake/controlnetwork.h
@@ -15,7 +15,8 @@
 
 /// Control planes joined by a queue of delayed datagrams on a virtual clock, with one platform. Runs the real decision
 /// code of the controllers without sockets or threads.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Shape of the fleet and of its network.
 struct ControlNetworkSettings
--- a/src/include/pomelofake/enginemodel.h
+++ b/src/include/pomelofake/enginemodel.h
@@ -14,7 +14,8 @@
 #include <vector>
 
 /// A model engine on a virtual clock. The process fake-engine, the in-process benchmarks and the fault matrix use it.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Which outputs a model emits for an answer.
 enum class EmissionMode {
--- a/src/include/pomelofake/history.h
+++ b/src/include/pomelofake/history.h
@@ -6,7 +6,8 @@
 #include <deque>
 
 /// Values with the times at which they were written, for stand-ins that answer with a lag.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Remembers the latest value and those that a reader may still see with a lag of up to MaximumLag.
 template<typename T>
--- a/src/include/pomelofake/httpreplies.h
+++ b/src/include/pomelofake/httpreplies.h
@@ -8,7 +8,8 @@
 #include <string>
 
 /// Replies that the HTTP interfaces of the stand-ins share.
-namespace pomelofake {
+namespace pomelofake
+{
 
 using ExchangePointer = std::shared_ptr<pomeloport::HttpExchange>;
 
--- a/src/include/pomelofake/platformmodel.h
+++ b/src/include/pomelofake/platformmodel.h
@@ -15,7 +15,8 @@
 
 /// The platform's object store, instance list and weight store on a virtual clock. The process fake-platform and the
 /// fault matrix use it.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Limits of the platform.
 struct PlatformModelSettings
--- a/src/include/pomelofake/prefixcache.h
+++ b/src/include/pomelofake/prefixcache.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 /// The prefix cache of a stand-in engine.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Keeps blocks of prompt prefixes in bounded memory, evicts the least recently used, and logs both as events.
 class PrefixCache
--- a/src/include/pomelofake/program.h
+++ b/src/include/pomelofake/program.h
@@ -11,7 +11,8 @@
 #include <string>
 
 /// What the programs of the stand-ins and the load tool share: command line, clock and stopping.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Exit code after a command line that cannot be used.
 constexpr int UsageExitCode = 2;
--- a/src/include/pomelofake/prompttext.h
+++ b/src/include/pomelofake/prompttext.h
@@ -5,7 +5,8 @@
 #include <string_view>
 
 /// Texts of prompts for load tests.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Makes prompts from one shared text. Prompts of one family begin alike, so that prefix caches matter; each prompt
 /// ends with its own number, so that no two are equal. Texts need no escapes in JSON.
--- a/src/include/pomelofake/ratelimit.h
+++ b/src/include/pomelofake/ratelimit.h
@@ -5,7 +5,8 @@
 #include <algorithm>
 
 /// The rate limits of the stand-in platform.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// A token bucket on a passed-in clock, full at the start.
 class RateLimit
--- a/src/include/pomelofake/trace.h
+++ b/src/include/pomelofake/trace.h
@@ -10,7 +10,8 @@
 
 /// Traces of requests for load tests: when each arrives, from whom, of which length. A trace follows from its settings
 /// and its seed alone.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Deployments whose mix of requests a trace follows.
 enum class LoadShape {
--- a/src/include/pomeloport/clock.h
+++ b/src/include/pomeloport/clock.h
@@ -4,7 +4,8 @@
 #include <cstdint>
 
 /// Time as the decision code sees it: always passed in, never read from a clock.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// A span of time in microseconds.
 using Duration = std::chrono::microseconds;
--- a/src/include/pomeloport/coordination/backendtable.h
+++ b/src/include/pomeloport/coordination/backendtable.h
@@ -14,7 +14,8 @@
 
 /// What one controller knows of the backend servers of its region: declarations, whose home it is, reports read by
 /// itself or heard from the homes, and who is leaving.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// The backend servers as one instance sees them. Pure; one thread at a time.
 class BackendTable
--- a/src/include/pomeloport/coordination/circuitbreaker.h
+++ b/src/include/pomeloport/coordination/circuitbreaker.h
@@ -5,7 +5,8 @@
 #include <cstdint>
 
 /// Circuit breaking per backend server, with a slow start after recovery.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Timing and threshold of a circuit breaker.
 struct BreakerLimits
--- a/src/include/pomeloport/coordination/claims.h
+++ b/src/include/pomeloport/coordination/claims.h
@@ -16,7 +16,8 @@
 
 /// At most once: claims of idempotency keys in the platform's store. A claim names the request that alone may send the
 /// action, and later carries its outcome. Everything here is free of I/O: events go in, actions come out.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Kind of the claims in the platform's store.
 constexpr std::string_view ClaimKind = "claims";
@@ -88,7 +89,8 @@
     std::size_t maximumAnswerBytes = 256UL * 1024;
 };
 
-namespace claimevent {
+namespace claimevent
+{
 
 /// Starts to acquire the claim. With storeHealthy unset the claim is read before the first write, so that an attempt
 /// during an outage leaves nothing behind.
@@ -134,7 +136,8 @@
                                 claimevent::HolderAnswered,
                                 claimevent::RetryDue>;
 
-namespace claimaction {
+namespace claimaction
+{
 
 /// Execute a call; ids rise from 1 within one keeper, and at most one call is under way.
 struct CallStore
--- a/src/include/pomeloport/coordination/configapply.h
+++ b/src/include/pomeloport/coordination/configapply.h
@@ -12,7 +12,8 @@
 
 /// How an operator's declarations get into the platform's store: a conditional update that carries a change token. A
 /// lost answer is settled by reading back the token; of two conflicting edits one wins and the other learns of it.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// How an edit ended.
 enum class ApplyResult {
@@ -37,7 +38,8 @@
              {ApplyResult::Uncertain, "uncertain"}}};
 }
 
-namespace configapply {
+namespace configapply
+{
 
 /// Call the store at this time, and pass the reply to handle().
 struct Call
--- a/src/include/pomeloport/coordination/configpatch.h
+++ b/src/include/pomeloport/coordination/configpatch.h
@@ -7,7 +7,8 @@
 #include <string_view>
 
 /// Differences between versions of the declarations' text, so that a small edit of a large text travels as few bytes.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Returns the patch that turns one text into another.
 control::ConfigPatch makePatch(std::uint64_t fromVersion,
--- a/src/include/pomeloport/coordination/configspread.h
+++ b/src/include/pomeloport/coordination/configspread.h
@@ -15,7 +15,8 @@
 /// each failure domain watch the store, chosen by rendezvous hashing; the others hear from peers. Versions only rise.
 /// An instance admits only while it knows that it did not miss a version: after a start it asks store and peers, and
 /// one that hears from neither stops admitting.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// To whom news of a version is passed on.
 enum class SpreadPolicy {
@@ -59,7 +60,8 @@
     std::uint64_t seed = 0;
 };
 
-namespace configspread {
+namespace configspread
+{
 
 /// Time passes; sent about every 50 ms.
 struct Tick
--- a/src/include/pomeloport/coordination/controlplane.h
+++ b/src/include/pomeloport/coordination/controlplane.h
@@ -14,7 +14,8 @@
 
 /// The control decisions of one instance put together: membership, the spread of configuration and of load reports.
 /// The controller drives it with sockets and clocks, the bench and tests with a virtual network.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Settings of the control decisions.
 struct ControlSettings
@@ -27,7 +28,8 @@
 /// Returns settings for an instance with all parts agreeing on identity, failure domain and seed.
 ControlSettings controlSettings(const control::MemberRecord &self, std::uint64_t seed);
 
-namespace controlevent {
+namespace controlevent
+{
 
 /// Time passes; sent about every 20 ms.
 struct Tick
@@ -67,7 +69,8 @@
                                   configspread::Fetched,
                                   configspread::FetchFailed>;
 
-namespace controlaction {
+namespace controlaction
+{
 
 /// Send a datagram.
 struct Send
--- a/src/include/pomeloport/coordination/costmodel.h
+++ b/src/include/pomeloport/coordination/costmodel.h
@@ -7,7 +7,8 @@
 #include <cstdint>
 
 /// What work costs an engine, and how fast one engine really is.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Assumptions about engines that have not been measured yet, and about the shape of their speed.
 struct CostAssumptions
--- a/src/include/pomeloport/coordination/decayingsum.h
+++ b/src/include/pomeloport/coordination/decayingsum.h
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <cmath>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// A sum whose parts lose weight exponentially with age; divided by the time constant it is a rate per second.
 class DecayingSum
--- a/src/include/pomeloport/coordination/discovery.h
+++ b/src/include/pomeloport/coordination/discovery.h
@@ -7,7 +7,8 @@
 #include <vector>
 
 /// Answers to callers who ask which entry instances to connect to.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// One address with its relative weight; a caller picks among addresses in proportion to the weights.
 struct DiscoveryEndpoint
--- a/src/include/pomeloport/coordination/eligibility.h
+++ b/src/include/pomeloport/coordination/eligibility.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 /// Which backend servers can serve a request at all, by kind, labels, model, adapter, version and state.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Returns whether the backend server holds the model with the adapter and the version asked for. Servers that have
 /// not reported yet count with what they are declared to load.
--- a/src/include/pomeloport/coordination/fairshares.h
+++ b/src/include/pomeloport/coordination/fairshares.h
@@ -7,7 +7,8 @@
 #include <string>
 
 /// Fair shares of organisations: who used more than its part lately.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Meters the cost of admitted work per organisation. Not thread safe.
 class FairShares
--- a/src/include/pomeloport/coordination/groupcoordinator.h
+++ b/src/include/pomeloport/coordination/groupcoordinator.h
@@ -19,7 +19,8 @@
 /// Reserves groups of engines for prompts larger than one engine. One instance coordinates the groups of a model (see
 /// groupCoordinatorOf()); all reservations of the model pass through it, all or nothing, so that two prompts never hold
 /// parts of each other's group. Pure: events go in, actions come out. One thread at a time may use an object.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// What a prompt needs of a group.
 struct GroupNeed
@@ -33,7 +34,8 @@
     Instant deadline{};
 };
 
-namespace groupevent {
+namespace groupevent
+{
 
 /// Asks for a group. Repeating the need of a waiting or granted stream changes nothing, but a grant is told again.
 struct Reserve
@@ -80,7 +82,8 @@
                                 groupevent::EnginesChanged,
                                 groupevent::Tick>;
 
-namespace groupaction {
+namespace groupaction
+{
 
 /// The group is reserved until it is released, its owner is gone, or its deadline passes.
 struct Grant
--- a/src/include/pomeloport/coordination/inflightledger.h
+++ b/src/include/pomeloport/coordination/inflightledger.h
@@ -12,7 +12,8 @@
 #include <unordered_map>
 
 /// The books of one router about its own attempts: which stream holds how much of which backend server.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// One attempt's booking at one backend server.
 struct Booking
--- a/src/include/pomeloport/coordination/isolation.h
+++ b/src/include/pomeloport/coordination/isolation.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 /// Keeps a share of the engines free of long work, so that short requests find engines without it.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Limits of the isolation of short requests.
 struct IsolationLimits
--- a/src/include/pomeloport/coordination/leases.h
+++ b/src/include/pomeloport/coordination/leases.h
@@ -15,7 +15,8 @@
 /// Leases on engines: who may give orders to an engine, and with which fencing number. Two kinds of objects in the
 /// platform's store serve them. Each holder renews one object of its own, whatever the number of its engines. One
 /// object of the region says which holder owns which engine; it is written only when an engine changes hands.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Kind of both objects in the platform's store.
 constexpr std::string_view LeaseKind = "leases";
--- a/src/include/pomeloport/coordination/loadspread.h
+++ b/src/include/pomeloport/coordination/loadspread.h
@@ -13,7 +13,8 @@
 /// Spreads the load reports of a region's instances to all of them. The instances form a ring ordered by failure domain
 /// and name. In step k of a round each sends to the instance 2^k places ahead the reports of the 2^k instances up to
 /// itself, so that each report travels to each instance about once. A lost datagram delays reports by a round.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Settings of the spread of load reports.
 struct LoadSpreadSettings
--- a/src/include/pomeloport/coordination/membership.h
+++ b/src/include/pomeloport/coordination/membership.h
@@ -14,7 +14,8 @@
 /// instance sends heartbeats to its peers in turn; one that does not answer, directly or through helpers, is suspected
 /// and has time to refute it before it counts as dead. News travels in the heartbeats; digests repair what was lost.
 /// Dead instances are tried again for a while, so that the halves of a partition find each other.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Settings of the membership of one instance.
 struct MembershipSettings
@@ -40,7 +41,8 @@
     std::uint64_t seed = 0;
 };
 
-namespace membership {
+namespace membership
+{
 
 /// Time passes; sent about every 50 ms.
 struct Tick
--- a/src/include/pomeloport/coordination/orders.h
+++ b/src/include/pomeloport/coordination/orders.h
@@ -13,7 +13,8 @@
 /// Orders to engines: what each should have in memory and which role it plays. Orders name the whole wanted state, so
 /// that repeating one does no harm; what an engine reports is compared with it, and a late order of a former owner is
 /// undone. Loads are paced below the weight store's limit over all instances. Pure; one thread at a time.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// The wanted state of one engine.
 struct EngineTarget
--- a/src/include/pomeloport/coordination/orphansweep.h
+++ b/src/include/pomeloport/coordination/orphansweep.h
@@ -12,7 +12,8 @@
 
 /// Frees the memory of engines that no live owner needs any more. Each engine's home compares the engine's own books
 /// with the owners; two homes at once do no harm, as every step is idempotent. Pure: events go in, actions come out.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Limits of the sweep.
 struct SweepLimits
@@ -23,7 +24,8 @@
     Duration margin = std::chrono::minutes(5);
 };
 
-namespace sweepevent {
+namespace sweepevent
+{
 
 /// The books of an engine, read from the engine after the last action for it.
 struct HoldingsRead
@@ -41,7 +43,8 @@
 
 using SweepEvent = std::variant<sweepevent::HoldingsRead, sweepevent::OwnerAnswered>;
 
-namespace sweepaction {
+namespace sweepaction
+{
 
 /// Ask the owner directly which of its requests are open.
 struct AskOwner
--- a/src/include/pomeloport/coordination/placement.h
+++ b/src/include/pomeloport/coordination/placement.h
@@ -15,7 +15,8 @@
 /// Chooses where requests run. One Placement serves one router and holds everything that the choice depends on: the
 /// published snapshot, the router's own attempts in flight, learned engine rates, circuit breakers, the retry budget
 /// and the requests that wait for capacity.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Why a backend server was not considered for a request.
 enum class Exclusion {
--- a/src/include/pomeloport/coordination/placementpolicy.h
+++ b/src/include/pomeloport/coordination/placementpolicy.h
@@ -6,7 +6,8 @@
 
 #include <cstddef>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Tuning of a placement. What operators tune is in Objective; these values follow from the bench.
 struct PlacementPolicy
--- a/src/include/pomeloport/coordination/pollplan.h
+++ b/src/include/pomeloport/coordination/pollplan.h
@@ -7,7 +7,8 @@
 
 /// How often the home of backend servers reads them. The more servers an instance is home of, the longer the intervals,
 /// so that its traffic stays bounded.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// In regions with at most this many servers every instance reads the cache events of all engines, those of other homes
 /// less often; in larger ones only the home does.
--- a/src/include/pomeloport/coordination/prefixaffinity.h
+++ b/src/include/pomeloport/coordination/prefixaffinity.h
@@ -13,7 +13,8 @@
 
 /// Where the leading blocks of a prompt are likely cached: from cache events, from the router's own recent choices, and
 /// from a placement rule that all routers share.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Returns the number of leading blocks of the prompt among the cached ones. Chained digests make the cached part a
 /// prefix, so the search takes logarithmic time; gaps in the events can only make the result too small.
--- a/src/include/pomeloport/coordination/rendezvous.h
+++ b/src/include/pomeloport/coordination/rendezvous.h
@@ -9,7 +9,8 @@
 
 /// Rendezvous hashing: every instance that knows the same members names the same owner of a key, and a member that
 /// leaves moves only its own keys.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Returns the weight of a member for a key. The member with the highest weight owns the key.
 std::uint64_t rendezvousWeight(std::string_view key, std::string_view member);
--- a/src/include/pomeloport/coordination/requestadmission.h
+++ b/src/include/pomeloport/coordination/requestadmission.h
@@ -13,7 +13,8 @@
 /// Validation of callers' requests: who is asking, which intent applies, and whether the values make sense. Nothing has
 /// been sent anywhere at this point, so failures carry the verdict NotRun; the one exception is an expired key, whose
 /// action may have run before.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Limits on single values of a request.
 struct RequestLimits
--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -15,9 +15,11 @@
 
 /// The lifecycle of one request as a state machine without I/O: events go in, actions come out. The router program and
 /// the fault matrix both drive it. One thread at a time may use an object.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace event {
+namespace event
+{
 
 /// Starts the lifecycle; sent once, first.
 struct Begin
@@ -156,7 +158,8 @@
                                event::TimerFired,
                                event::CapacityFreed>;
 
-namespace action {
+namespace action
+{
 
 /// Claim the key in the platform's store; answer with ClaimSettled.
 struct AcquireClaim
--- a/src/include/pomeloport/coordination/retrybudget.h
+++ b/src/include/pomeloport/coordination/retrybudget.h
@@ -3,7 +3,8 @@
 #include "pomeloport/clock.h"
 
 /// Keeps retries a small share of the traffic, so that a fault is not amplified.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Sizes of a retry budget, in retries.
 struct RetryBudgetLimits
--- a/src/include/pomeloport/coordination/route.h
+++ b/src/include/pomeloport/coordination/route.h
@@ -12,7 +12,8 @@
 #include <vector>
 
 /// What routing decides about a request: the types that the request lifecycle and the router policies share.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Classes of prompt length, for metrics and policy.
 enum class PromptClass {
--- a/src/include/pomeloport/coordination/waitingline.h
+++ b/src/include/pomeloport/coordination/waitingline.h
@@ -10,7 +10,8 @@
 #include <optional>
 
 /// Requests that a router holds back until an engine has room, and the forecast of when that will be.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Resources that requests wait for; each has a line of its own.
 enum class LineKind {
--- a/src/include/pomeloport/daemonoptions.h
+++ b/src/include/pomeloport/daemonoptions.h
@@ -6,7 +6,8 @@
 #include <string_view>
 
 /// Command line of the programs that run on entry instances.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Exit codes of the programs that run on entry instances.
 constexpr int DaemonStopped = 0;
--- a/src/include/pomeloport/lastreason.h
+++ b/src/include/pomeloport/lastreason.h
@@ -3,7 +3,8 @@
 #include <string>
 
 /// Errors are reported as an empty std::optional, or false, together with a reason kept per thread.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Stores why the current call fails. Calls replace the reason of an earlier failure on the same thread.
 void setLastReason(std::string reason);
--- a/src/include/pomeloport/logging.h
+++ b/src/include/pomeloport/logging.h
@@ -6,7 +6,8 @@
 #include <utility>
 
 /// Structured logs: one line of key=value pairs for each event, by easylogging++.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Severity of a log line.
 enum class LogLevel {
--- a/src/include/pomeloport/nametable.h
+++ b/src/include/pomeloport/nametable.h
@@ -7,7 +7,8 @@
 #include <utility>
 
 /// Tables that map the values of an enum class to the names used in settings, messages and logs.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// A fixed table of N pairs of value and name. Specialise nameTable() beside the enum that it describes.
 template<typename Enum, std::size_t N>
--- a/src/include/pomeloport/protocol/callermessages.h
+++ b/src/include/pomeloport/protocol/callermessages.h
@@ -10,7 +10,8 @@
 #include <vector>
 
 /// Messages of the callers' HTTP interface, with their codecs.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// The body of POST /v1/requests. Only the form is checked here; admission checks the values.
 struct CallerRequest
--- a/src/include/pomeloport/protocol/compactarchive.h
+++ b/src/include/pomeloport/protocol/compactarchive.h
@@ -20,7 +20,8 @@
 
 /// Cereal archives for messages between the system's own processes. Integers take as many bytes as their value needs,
 /// and a length that exceeds the bytes left is rejected before memory is reserved for it.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Appends values to a string.
 class CompactOutputArchive : public cereal::OutputArchive<CompactOutputArchive, cereal::AllowEmptyClassElision>
@@ -194,7 +195,8 @@
 CEREAL_REGISTER_ARCHIVE(pomeloport::detail::CompactInputArchive)
 CEREAL_SETUP_ARCHIVE_TRAITS(pomeloport::detail::CompactInputArchive, pomeloport::detail::CompactOutputArchive)
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Encodes a value compactly.
 template<typename T>
--- a/src/include/pomeloport/protocol/controlmessages.h
+++ b/src/include/pomeloport/protocol/controlmessages.h
@@ -12,9 +12,11 @@
 
 /// Datagrams between controllers: membership, spread of configuration and of load reports. Each fits one datagram;
 /// any of them may be lost, repeated or come late.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace control {
+namespace control
+{
 
 /// What an instance says of itself, or others say of it. Of two records of one instance the one with the higher
 /// incarnation holds, then the one with the higher revision, then the one with the worse state.
--- a/src/include/pomeloport/protocol/enginemessages.h
+++ b/src/include/pomeloport/protocol/enginemessages.h
@@ -17,7 +17,8 @@
 /// answers EngineHoldings. GET /v1/load answers a LoadReport. DELETE /v1/kv/BLOB frees an exported blob.
 /// POST /v1/orders takes an EngineOrder and answers 200 {}, or 409 and a Refusal with the code Fenced.
 /// GET /v1/events?since=N answers CacheEvents with the events after sequence number N.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Scheduling classes of an engine, most urgent first.
 enum class EnginePriority {
--- a/src/include/pomeloport/protocol/identity.h
+++ b/src/include/pomeloport/protocol/identity.h
@@ -7,7 +7,8 @@
 #include <string_view>
 
 /// Identities that messages carry: who owns a stream, and which attempt of which request it belongs to.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Names one start of one process of an instance. A restarted instance keeps its name and gets a higher incarnation.
 struct OwnerId
--- a/src/include/pomeloport/protocol/jsonfields.h
+++ b/src/include/pomeloport/protocol/jsonfields.h
@@ -12,7 +12,8 @@
 #include <vector>
 
 /// Reading and writing of JSON fields, for codecs of this library and its programs.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Reads fields of one JSON object. The first missing or mistyped field sets ok() to false and the last reason.
 class JsonReader
--- a/src/include/pomeloport/protocol/linkmessages.h
+++ b/src/include/pomeloport/protocol/linkmessages.h
@@ -15,9 +15,11 @@
 
 /// Messages between a router and the controller of its own instance. Queries carry a number that the asking side
 /// chooses and the reply repeats; either side may be restarted at any time, which loses the queries under way.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace link {
+namespace link
+{
 
 /// Sent by the controller: the view that the router publishes. Declarations travel only when they are new to this
 /// connection; feed the updates to a SnapshotAssembler, which puts them together.
@@ -26,11 +28,14 @@
     /// Without declarations unless declarationsIncluded, and without cachedBlocks.
     Snapshot snapshot;
     bool declarationsIncluded = false;
+    /// When the view was taken, in microseconds of the monotonic clock that the processes of an instance share. A
+    /// router that was paused judges by it that an update which waited in the connection is old.
+    std::int64_t madeAtUs = 0;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(snapshot, declarationsIncluded);
+        archive(snapshot, declarationsIncluded, madeAtUs);
     }
 };
 
--- a/src/include/pomeloport/protocol/peermessages.h
+++ b/src/include/pomeloport/protocol/peermessages.h
@@ -10,9 +10,11 @@
 
 /// Messages between controllers over framed TCP links, for what is too large for a datagram or needs an answer. The
 /// asking side chooses the number of a query; the reply repeats it.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace peer {
+namespace peer
+{
 
 /// Asks for the whole configuration.
 struct ConfigFetch
--- a/src/include/pomeloport/protocol/snapshotassembler.h
+++ b/src/include/pomeloport/protocol/snapshotassembler.h
@@ -9,7 +9,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Puts the updates of one controller's link together into whole snapshots. Used by one thread at a time; the
 /// snapshots themselves are immutable and safe to share.
--- a/src/include/pomeloport/protocol/store.h
+++ b/src/include/pomeloport/protocol/store.h
@@ -8,7 +8,8 @@
 
 /// The platform's object API as typed calls and replies. Decision code emits calls and receives replies; the HTTP
 /// client and the in-process stand-in both execute them.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Operations of the platform's object API.
 enum class StoreOperation {
--- a/src/include/pomeloport/settings.h
+++ b/src/include/pomeloport/settings.h
@@ -15,7 +15,8 @@
 
 /// Checked reading of YAML settings and declarations. Every error of a file is collected with its line, so that an
 /// operator sees all of them at once.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Errors found in settings files, each as "FILE:LINE: MESSAGE".
 class SettingsErrors
--- a/src/include/pomeloport/state/declarations.h
+++ b/src/include/pomeloport/state/declarations.h
@@ -10,7 +10,8 @@
 
 /// What operators declare: organisations, serving intents and backend servers. The declarations form one object in the
 /// platform's store; its version there is the configuration version.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Labels on work and on backend servers.
 using Labels = std::map<std::string, std::string>;
--- a/src/include/pomeloport/state/declarationsdiff.h
+++ b/src/include/pomeloport/state/declarationsdiff.h
@@ -7,7 +7,8 @@
 #include <vector>
 
 /// Field-by-field comparison of declarations, for operators and for reports of conflicting edits.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// One field that differs. An empty text on one side means that the field is absent there.
 struct DeclarationChange
--- a/src/include/pomeloport/state/published.h
+++ b/src/include/pomeloport/state/published.h
@@ -4,7 +4,8 @@
 #include <memory>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Holds the current version of an immutable value for many reader threads (read-copy-update). Readers take a shared
 /// pointer and keep it for as long as they need that version; a writer replaces the whole value.
--- a/src/include/pomeloport/state/snapshot.h
+++ b/src/include/pomeloport/state/snapshot.h
@@ -12,7 +12,8 @@
 
 /// The view of configuration, membership and backend servers that the request path reads. A controller sends it to its
 /// router; the router publishes it by read-copy-update and never changes a published one.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Liveness of an entry instance as its peers see it.
 enum class InstanceState {
--- a/src/include/pomeloport/transport/authentication.h
+++ b/src/include/pomeloport/transport/authentication.h
@@ -7,7 +7,8 @@
 #include <string_view>
 
 /// Authentication of messages between the system's own processes, by HMAC-SHA256 with a shared key.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Bytes of an HMAC-SHA256.
 constexpr std::size_t MacBytes = 32;
--- a/src/include/pomeloport/transport/datagramsocket.h
+++ b/src/include/pomeloport/transport/datagramsocket.h
@@ -13,7 +13,8 @@
 
 /// Authenticated UDP datagrams between instances. Each carries its sender, a sequence number and an HMAC-SHA256 that
 /// also covers the receiver's address, so that a recorded datagram works neither twice nor at another receiver.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Settings of a datagram socket.
 struct DatagramSettings
--- a/src/include/pomeloport/transport/enginestream.h
+++ b/src/include/pomeloport/transport/enginestream.h
@@ -12,13 +12,16 @@
 #include <variant>
 
 /// One call to a backend server whose answer arrives in pieces, with backpressure.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace detail {
+namespace detail
+{
 class EngineStreamSession;
 }
 
-namespace streamevent {
+namespace streamevent
+{
 
 /// The first byte is about to be handed to the network: from here the call may have run.
 struct Sending
--- a/src/include/pomeloport/transport/framedlink.h
+++ b/src/include/pomeloport/transport/framedlink.h
@@ -13,7 +13,8 @@
 /// and its bytes. Both sides contribute a random nonce to the key of a connection, and the frames of each direction
 /// are numbered, so that a recorded, repeated, reordered or reflected frame is rejected. A frame that fails the check
 /// closes its connection.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Limits of a framed connection.
 struct FrameLimits
@@ -29,7 +30,8 @@
     std::chrono::milliseconds maximumReconnectDelay{1000};
 };
 
-namespace detail {
+namespace detail
+{
 class FramedSession;
 } // namespace detail
 
--- a/src/include/pomeloport/transport/httpclient.h
+++ b/src/include/pomeloport/transport/httpclient.h
@@ -11,9 +11,11 @@
 #include <vector>
 
 /// An HTTP/1.1 client for calls with whole replies, over kept-alive connections.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace detail {
+namespace detail
+{
 class ConnectionPool;
 }
 
--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -14,9 +14,11 @@
 #include <vector>
 
 /// An HTTP/1.1 server: whole and streamed replies, keep-alive, and limits on what a peer may send.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace detail {
+namespace detail
+{
 class HttpConnection;
 class HttpAcceptor;
 } // namespace detail
--- a/src/include/pomeloport/transport/platformclient.h
+++ b/src/include/pomeloport/transport/platformclient.h
@@ -16,7 +16,8 @@
 #include <vector>
 
 /// Calls of the platform's object API, instance list and weight store over HTTP.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// What an entry of the platform's instance list is.
 enum class PlatformRole {
--- a/src/include/pomeloport/transport/replaywindow.h
+++ b/src/include/pomeloport/transport/replaywindow.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Accepts each sequence number of each sender once. Numbers may come out of order within a window; a sender's new
 /// incarnation starts afresh and shuts out the earlier ones. Pure; one thread at a time.
--- a/src/include/pomeloport/verdict.h
+++ b/src/include/pomeloport/verdict.h
@@ -7,7 +7,8 @@
 #include <string>
 
 /// Says whether a request may have run, and why it failed.
-namespace pomeloport {
+namespace pomeloport
+{
 
 /// Whether a backend server may have executed a request. NotRun is a promise that a resend is safe.
 enum class Verdict {
--- a/src/include/pomelorouter/requestmetrics.h
+++ b/src/include/pomelorouter/requestmetrics.h
@@ -10,7 +10,8 @@
 #include <string>
 
 /// Histograms and counters of requests per organisation and class of prompt length, in Prometheus text.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// The series of one organisation and one class. All methods are safe from any thread and do not lock.
 class RequestSeries
--- a/src/include/pomelorouter/router.h
+++ b/src/include/pomelorouter/router.h
@@ -12,7 +12,8 @@
 #include <string>
 
 /// The router: callers' and operators' HTTP interface, admission, routing and streams.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 struct RouterCore;
 
--- a/src/include/pomelorouter/routersettings.h
+++ b/src/include/pomelorouter/routersettings.h
@@ -12,7 +12,8 @@
 #include <string>
 
 /// Settings of one router.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// Everything that a router learns from its settings file.
 struct RouterSettings
@@ -43,8 +44,8 @@
     std::size_t traceRequests = 4096;
     /// Bytes of a streamed answer that may wait for a slow caller before reading from the backend server pauses.
     std::size_t callerBufferBytes = 8 * 1024;
-    /// Time without word from the controller after which no request is admitted, since the configuration may be stale.
-    std::chrono::milliseconds controllerGrace{3000};
+    /// Age of the last snapshot after which no request is admitted, since the configuration may be stale.
+    std::chrono::milliseconds controllerGrace{2500};
     /// Time that peers need to learn that this instance leaves, added to the lifetime of discovery answers.
     std::chrono::milliseconds drainPropagation{3000};
     pomeloport::HttpLimits http;
--- a/src/libpomelofake/answer.cpp
+++ b/src/libpomelofake/answer.cpp
@@ -3,9 +3,11 @@
 #include <array>
 #include <xxhash.h>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
-namespace {
+namespace
+{
 
 constexpr int LettersPerChunk = 5;
 constexpr std::uint64_t LetterCount = 26;
--- a/src/libpomelofake/answercheck.cpp
+++ b/src/libpomelofake/answercheck.cpp
@@ -2,7 +2,8 @@
 
 #include "pomelofake/answer.h"
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 AnswerCheck AnswerCheck::ofEngine(std::vector<std::uint64_t> seeds, std::uint64_t count)
 {
--- a/src/libpomelofake/answercheck_test.cpp
+++ b/src/libpomelofake/answercheck_test.cpp
@@ -10,7 +10,8 @@
 
 using namespace pomelofake;
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t Right = 11;
 constexpr std::uint64_t Other = 12;
--- a/src/libpomelofake/controlnetwork.cpp
+++ b/src/libpomelofake/controlnetwork.cpp
@@ -6,11 +6,13 @@
 #include <algorithm>
 #include <set>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Time between two ticks of a node.
 constexpr Duration TickInterval = std::chrono::milliseconds(40);
--- a/src/libpomelofake/controlnetwork_test.cpp
+++ b/src/libpomelofake/controlnetwork_test.cpp
@@ -8,7 +8,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 ControlNetworkSettings small(double loss = 0, std::uint64_t seed = 1)
 {
--- a/src/libpomelofake/enginemodel.cpp
+++ b/src/libpomelofake/enginemodel.cpp
@@ -6,7 +6,8 @@
 #include <algorithm>
 #include <utility>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 using pomeloport::Duration;
 using pomeloport::EnginePriority;
@@ -16,7 +17,8 @@
 using pomeloport::RefusalCode;
 using pomeloport::StreamAddress;
 
-namespace {
+namespace
+{
 
 struct Segment
 {
--- a/src/libpomelofake/enginemodel_test.cpp
+++ b/src/libpomelofake/enginemodel_test.cpp
@@ -12,7 +12,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
+namespace
+{
 
 constexpr Instant Start{};
 
--- a/src/libpomelofake/enginestate.cpp
+++ b/src/libpomelofake/enginestate.cpp
@@ -4,7 +4,8 @@
 #include <algorithm>
 
 /// The engine model's reports, orders and faults.
-namespace pomelofake {
+namespace pomelofake
+{
 
 using pomeloport::Instant;
 using pomeloport::Refusal;
--- a/src/libpomelofake/enginestream.h
+++ b/src/libpomelofake/enginestream.h
@@ -3,7 +3,8 @@
 #include "pomelofake/enginemodel.h"
 
 /// One accepted call inside the engine model; not part of its public surface.
-namespace pomelofake {
+namespace pomelofake
+{
 
 /// Progress and memory of one call.
 struct EngineModel::Stream
--- a/src/libpomelofake/platformmodel.cpp
+++ b/src/libpomelofake/platformmodel.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 using pomeloport::Duration;
 using pomeloport::Instant;
@@ -12,7 +13,8 @@
 using pomeloport::StoreReply;
 using pomeloport::StoreStatus;
 
-namespace {
+namespace
+{
 
 constexpr double SecondsPerMinute = 60;
 
--- a/src/libpomelofake/platformmodel_test.cpp
+++ b/src/libpomelofake/platformmodel_test.cpp
@@ -11,7 +11,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
+namespace
+{
 
 constexpr Instant Start = Instant(seconds(100));
 
--- a/src/libpomelofake/prefixcache.cpp
+++ b/src/libpomelofake/prefixcache.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t MaximumKeptEvents = 4096;
 
--- a/src/libpomelofake/program.cpp
+++ b/src/libpomelofake/program.cpp
@@ -10,11 +10,13 @@
 #include <iostream>
 #include <memory>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 namespace po = boost::program_options;
 
-namespace {
+namespace
+{
 
 constexpr auto RegistrationRetryDelay = std::chrono::seconds(1);
 constexpr unsigned HttpOk = 200;
--- a/src/libpomelofake/prompttext.cpp
+++ b/src/libpomelofake/prompttext.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <random>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t BytesPerToken = 4;
 constexpr std::size_t MinimumTokens = 8;
--- a/src/libpomelofake/trace.cpp
+++ b/src/libpomelofake/trace.cpp
@@ -4,12 +4,14 @@
 #include <cmath>
 #include <random>
 
-namespace pomelofake {
+namespace pomelofake
+{
 
 using pomeloport::Duration;
 using std::chrono::milliseconds;
 
-namespace {
+namespace
+{
 
 constexpr double CrestShare = 0.25;
 
--- a/src/libpomeloport/coordination/answerassembler.cpp
+++ b/src/libpomeloport/coordination/answerassembler.cpp
@@ -2,9 +2,11 @@
 
 #include <xxhash.h>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 /// How far ahead of the next chunk one is kept, in chunks.
 constexpr std::uint64_t ReorderWindow = 4096;
--- a/src/libpomeloport/coordination/answerassembler.h
+++ b/src/libpomeloport/coordination/answerassembler.h
@@ -9,7 +9,8 @@
 
 struct XXH64_state_s;
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Puts the numbered chunks of an answer in order, each once, and checks the whole against its end marker. Chunks may
 /// come twice, out of order and from several attempts.
--- a/src/libpomeloport/coordination/backendtable.cpp
+++ b/src/libpomeloport/coordination/backendtable.cpp
@@ -8,11 +8,13 @@
 #include <limits>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using control::EngineLoad;
 
-namespace {
+namespace
+{
 
 /// Failed readings in a row after which a server counts as gone.
 constexpr std::uint32_t FailuresUntilGone = 3;
--- a/src/libpomeloport/coordination/backendtable_test.cpp
+++ b/src/libpomeloport/coordination/backendtable_test.cpp
@@ -5,7 +5,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 const Instant Start{100s};
 
--- a/src/libpomeloport/coordination/claimrecord.cpp
+++ b/src/libpomeloport/coordination/claimrecord.cpp
@@ -6,9 +6,11 @@
 #include <xxhash.h>
 
 /// Names and codec of claims.
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 std::string hexadecimal(std::uint64_t number)
 {
--- a/src/libpomeloport/coordination/claims.cpp
+++ b/src/libpomeloport/coordination/claims.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using link::ClaimHolderState;
 
--- a/src/libpomeloport/coordination/claims_test.cpp
+++ b/src/libpomeloport/coordination/claims_test.cpp
@@ -7,7 +7,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr auto Issued = WallTime(1'000'000h);
 
--- a/src/libpomeloport/coordination/compressedtext.cpp
+++ b/src/libpomeloport/coordination/compressedtext.cpp
@@ -7,9 +7,11 @@
 
 #include <array>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 namespace zlib = boost::beast::zlib;
 
--- a/src/libpomeloport/coordination/compressedtext.h
+++ b/src/libpomeloport/coordination/compressedtext.h
@@ -5,7 +5,8 @@
 #include <string_view>
 
 /// Compression of long texts for storage as JSON strings.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Compresses with deflate and encodes in base64.
 std::string compressText(std::string_view text);
--- a/src/libpomeloport/coordination/configapply.cpp
+++ b/src/libpomeloport/coordination/configapply.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration MaximumRetryDelay = std::chrono::seconds(2);
 
--- a/src/libpomeloport/coordination/configapply_test.cpp
+++ b/src/libpomeloport/coordination/configapply_test.cpp
@@ -7,7 +7,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 /// What the network does to the answer of the Nth call.
 enum class Answer {
--- a/src/libpomeloport/coordination/confighistory.cpp
+++ b/src/libpomeloport/coordination/confighistory.cpp
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 using control::ConfigAnnounce;
 using control::ConfigPatch;
 
-namespace {
+namespace
+{
 
 /// Patches remembered.
 constexpr std::size_t MaximumPatches = 16;
--- a/src/libpomeloport/coordination/confighistory.h
+++ b/src/libpomeloport/coordination/confighistory.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// The configuration that an instance knows, and short patches that led to it.
 class ConfigHistory
--- a/src/libpomeloport/coordination/configpatch.cpp
+++ b/src/libpomeloport/coordination/configpatch.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <xxhash.h>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 /// Longer declarations are stored compressed, for the store's limit on values and for the watchers' traffic.
 constexpr std::size_t LongestPlainText = 16 * 1024;
--- a/src/libpomeloport/coordination/configspread.cpp
+++ b/src/libpomeloport/coordination/configspread.cpp
@@ -10,13 +10,15 @@
 #include <optional>
 #include <random>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using configspread::Peer;
 using control::ConfigAnnounce;
 using control::ConfigPull;
 
-namespace {
+namespace
+{
 
 /// Rounds in which a new version is passed on.
 constexpr std::uint32_t SpreadRounds = 2;
--- a/src/libpomeloport/coordination/controlplane.cpp
+++ b/src/libpomeloport/coordination/controlplane.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 /// Time for which a dead peer counts as lost.
 constexpr Duration LostMemory = std::chrono::hours(1);
--- a/src/libpomeloport/coordination/costmodel.cpp
+++ b/src/libpomeloport/coordination/costmodel.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 // Weights of a new value in the moving averages.
 constexpr double ReportWeight = 0.5;
--- a/src/libpomeloport/coordination/discovery.cpp
+++ b/src/libpomeloport/coordination/discovery.cpp
@@ -6,9 +6,11 @@
 #include <cmath>
 #include <tuple>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr double FullWeight = 100;
 constexpr double NearFactor = 4;
--- a/src/libpomeloport/coordination/discovery_test.cpp
+++ b/src/libpomeloport/coordination/discovery_test.cpp
@@ -4,7 +4,8 @@
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 InstanceView instance(const std::string &name, const std::string &domain, InstanceState state, double load)
 {
--- a/src/libpomeloport/coordination/eligibility.cpp
+++ b/src/libpomeloport/coordination/eligibility.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <string_view>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 // Returns the model's name in an entry "model", "model+adapter" or "model@version".
 std::string_view modelOf(std::string_view entry)
--- a/src/libpomeloport/coordination/enginegrants.cpp
+++ b/src/libpomeloport/coordination/enginegrants.cpp
@@ -3,7 +3,8 @@
 #include "../protocol/jsonfields.h"
 
 /// Codec of the engines' owners.
-namespace pomeloport {
+namespace pomeloport
+{
 
 std::string encode(const EngineGrants &grants)
 {
--- a/src/libpomeloport/coordination/fairshares.cpp
+++ b/src/libpomeloport/coordination/fairshares.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration UsageTimeConstant = std::chrono::seconds(30);
 constexpr Duration IdleCheckInterval = std::chrono::seconds(5);
--- a/src/libpomeloport/coordination/fleetview.cpp
+++ b/src/libpomeloport/coordination/fleetview.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 // Pools that no request asked for lately are forgotten above this number.
 constexpr std::size_t MostPools = 256;
--- a/src/libpomeloport/coordination/fleetview.h
+++ b/src/libpomeloport/coordination/fleetview.h
@@ -19,7 +19,8 @@
 
 /// What one router knows of the backend servers: the snapshot, its own books, learned speeds and circuit breakers,
 /// combined into predictions. Not thread safe.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// The backend servers that serve requests with the same needs.
 struct Pool
--- a/src/libpomeloport/coordination/flowattempts.cpp
+++ b/src/libpomeloport/coordination/flowattempts.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 /// How one request's lifecycle serves an attempt: its members in order, its chunks, its end, and what it holds.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 void FlowContext::openMember()
 {
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 /// Least time between two questions to the chooser.
 constexpr Duration MinimumWait = std::chrono::milliseconds(1);
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -13,7 +13,8 @@
 
 /// Data and decisions of one request's lifecycle. The state machine in requestflow.cpp says which decision answers
 /// which event in which state; each decision here appends actions and names the next phase.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Phases of a request's lifecycle: the states in which it waits for an event.
 enum class FlowPhase {
--- a/src/libpomeloport/coordination/flowtimers.cpp
+++ b/src/libpomeloport/coordination/flowtimers.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 
 /// The times that one request's lifecycle waits for: deadline, settling of the claim, retry, stall and cancel.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 Duration FlowContext::retryDelay()
 {
--- a/src/libpomeloport/coordination/groupcoordinator.cpp
+++ b/src/libpomeloport/coordination/groupcoordinator.cpp
@@ -7,9 +7,11 @@
 #include <set>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr auto RefusalRetryAfter = std::chrono::seconds(10);
 
--- a/src/libpomeloport/coordination/groupcoordinator_test.cpp
+++ b/src/libpomeloport/coordination/groupcoordinator_test.cpp
@@ -5,7 +5,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t EngineTokens = 400'000;
 
--- a/src/libpomeloport/coordination/inflightledger.cpp
+++ b/src/libpomeloport/coordination/inflightledger.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 BackendBooks::Recent BackendBooks::openedAfter(Instant time) const
 {
--- a/src/libpomeloport/coordination/isolation.cpp
+++ b/src/libpomeloport/coordination/isolation.cpp
@@ -6,9 +6,11 @@
 #include <cmath>
 #include <numeric>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr double DemandTimeConstant = 10;
 constexpr std::string_view OrderKey = "short-only";
--- a/src/libpomeloport/coordination/leases.cpp
+++ b/src/libpomeloport/coordination/leases.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view HolderPrefix = "holder/";
 constexpr std::string_view GrantsPrefix = "grants/";
--- a/src/libpomeloport/coordination/leases_test.cpp
+++ b/src/libpomeloport/coordination/leases_test.cpp
@@ -7,7 +7,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 /// Holders before one store on a virtual clock; a paused one neither moves nor hears replies.
 class LeaseBench
--- a/src/libpomeloport/coordination/loadspread.cpp
+++ b/src/libpomeloport/coordination/loadspread.cpp
@@ -7,12 +7,14 @@
 #include <limits>
 #include <tuple>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using control::InstanceReport;
 using control::LoadShare;
 
-namespace {
+namespace
+{
 
 /// Bytes of headers that each datagram adds on the wire.
 constexpr std::size_t HeaderBytes = 80;
--- a/src/libpomeloport/coordination/memberlist.cpp
+++ b/src/libpomeloport/coordination/memberlist.cpp
@@ -6,12 +6,14 @@
 #include <tuple>
 #include <xxhash.h>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 using control::MemberDigest;
 using control::MemberRecord;
 
-namespace {
+namespace
+{
 
 /// Transmissions of one piece of news for each doubling of the region's size.
 constexpr std::uint32_t TransmissionsPerDoubling = 3;
--- a/src/libpomeloport/coordination/memberlist.h
+++ b/src/libpomeloport/coordination/memberlist.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 /// The records of a region's instances: merging, suspicion, digests and the queue of news.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// What became of a record that came in.
 enum class MergeResult {
--- a/src/libpomeloport/coordination/membership.cpp
+++ b/src/libpomeloport/coordination/membership.cpp
@@ -12,7 +12,8 @@
 #include <random>
 #include <set>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using control::Ack;
 using control::Gossip;
@@ -26,7 +27,8 @@
 using control::SyncRecords;
 using detail::MergeResult;
 
-namespace {
+namespace
+{
 
 /// Records and summaries that fit a heartbeat.
 constexpr std::size_t RecordsPerGossip = 4;
--- a/src/libpomeloport/coordination/orders.cpp
+++ b/src/libpomeloport/coordination/orders.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr double SecondsPerMinute = 60;
 
--- a/src/libpomeloport/coordination/orders_test.cpp
+++ b/src/libpomeloport/coordination/orders_test.cpp
@@ -6,7 +6,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 /// Orders one engine each second and counts the loads that the orders ask for.
 class OrderBench
--- a/src/libpomeloport/coordination/orphansweep.cpp
+++ b/src/libpomeloport/coordination/orphansweep.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <set>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 OrphanSweep::OrphanSweep(SweepLimits limits, std::uint64_t firstQuery)
     : m_limits(limits)
--- a/src/libpomeloport/coordination/orphansweep_test.cpp
+++ b/src/libpomeloport/coordination/orphansweep_test.cpp
@@ -5,7 +5,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 const OwnerId LiveOwner{"r1", 4};
 /// The books of an engine that holds two streams and a blob of one owner.
--- a/src/libpomeloport/coordination/placement.cpp
+++ b/src/libpomeloport/coordination/placement.cpp
@@ -14,9 +14,11 @@
 #include <random>
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t RememberedPrefixes = 4096;
 // Score of a candidate that does not fit into memory now; such engines are chosen last.
--- a/src/libpomeloport/coordination/placement_test.cpp
+++ b/src/libpomeloport/coordination/placement_test.cpp
@@ -5,7 +5,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 BackendView engineView(const std::string &name, std::uint64_t queuedTokens)
 {
--- a/src/libpomeloport/coordination/prefixaffinity.cpp
+++ b/src/libpomeloport/coordination/prefixaffinity.cpp
@@ -4,9 +4,11 @@
 #include <bit>
 #include <xxhash.h>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t PointsPerMember = 16;
 
--- a/src/libpomeloport/coordination/regiontable.cpp
+++ b/src/libpomeloport/coordination/regiontable.cpp
@@ -1,6 +1,7 @@
 #include "regiontable.h"
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 bool RegionTable::merge(const control::RegionSummary &summary, std::uint32_t transmissions)
 {
--- a/src/libpomeloport/coordination/regiontable.h
+++ b/src/libpomeloport/coordination/regiontable.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// The latest summaries of all regions, with the queue of those to pass on.
 class RegionTable
--- a/src/libpomeloport/coordination/rendezvous.cpp
+++ b/src/libpomeloport/coordination/rendezvous.cpp
@@ -5,9 +5,11 @@
 #include <utility>
 #include <xxhash.h>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 // Returns the alive instance with the highest weight for the key among those that fulfil the condition.
 const InstanceView *bestAlive(std::string_view key,
--- a/src/libpomeloport/coordination/requestadmission.cpp
+++ b/src/libpomeloport/coordination/requestadmission.cpp
@@ -8,9 +8,11 @@
 #include <chrono>
 #include <optional>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 Failure notRun(ReasonCode reason, std::string detail)
 {
--- a/src/libpomeloport/coordination/requestadmission_test.cpp
+++ b/src/libpomeloport/coordination/requestadmission_test.cpp
@@ -6,7 +6,8 @@
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr std::uint64_t NowMs = 1'700'000'000'000;
 const AdmissionTime Time{Instant{std::chrono::seconds(5)}, WallTime{std::chrono::milliseconds(NowMs)}};
--- a/src/libpomeloport/coordination/requestflow.cpp
+++ b/src/libpomeloport/coordination/requestflow.cpp
@@ -5,12 +5,15 @@
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace detail {
+namespace detail
+{
 
 /// Events that the lifecycle raises itself: timers that came due, and the phase that a decision chose.
-namespace raised {
+namespace raised
+{
 
 struct GiveUp
 {
--- a/src/libpomeloport/coordination/requestflow_test.cpp
+++ b/src/libpomeloport/coordination/requestflow_test.cpp
@@ -6,7 +6,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 constexpr auto Start = Instant(1h);
 
--- a/src/libpomeloport/coordination/retrybudget.cpp
+++ b/src/libpomeloport/coordination/retrybudget.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 RetryBudget::RetryBudget(RetryBudgetLimits limits)
     : m_limits(limits)
--- a/src/libpomeloport/coordination/waitingline.cpp
+++ b/src/libpomeloport/coordination/waitingline.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 // How long the first request of a line stays first without a new comparison.
 constexpr Duration FirstValidity = std::chrono::milliseconds(20);
--- a/src/libpomeloport/lastreason.cpp
+++ b/src/libpomeloport/lastreason.cpp
@@ -2,9 +2,11 @@
 
 #include <utility>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 std::string &threadReason()
 {
--- a/src/libpomeloport/logging.cpp
+++ b/src/libpomeloport/logging.cpp
@@ -6,9 +6,11 @@
 
 INITIALIZE_EASYLOGGINGPP
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 std::string &programName()
 {
--- a/src/libpomeloport/protocol/callermessages.cpp
+++ b/src/libpomeloport/protocol/callermessages.cpp
@@ -10,9 +10,11 @@
 #include <array>
 #include <limits>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 using detail::digestText;
 using detail::JsonReader;
--- a/src/libpomeloport/protocol/chunklines.cpp
+++ b/src/libpomeloport/protocol/chunklines.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <charconv>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view IndexPrefix = R"({"index":)";
 constexpr std::string_view TextPrefix = R"(,"text":")";
--- a/src/libpomeloport/protocol/chunklines.h
+++ b/src/libpomeloport/protocol/chunklines.h
@@ -9,7 +9,8 @@
 #include <variant>
 
 /// The lines of a streamed engine answer.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// One line: a chunk or the end marker.
 using StreamLine = std::variant<StreamChunk, StreamEnd>;
--- a/src/libpomeloport/protocol/enginemessages.cpp
+++ b/src/libpomeloport/protocol/enginemessages.cpp
@@ -2,9 +2,11 @@
 
 #include "jsonfields.h"
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 using detail::digestText;
 using detail::JsonReader;
--- a/src/libpomeloport/protocol/identity.cpp
+++ b/src/libpomeloport/protocol/identity.cpp
@@ -4,9 +4,11 @@
 
 #include <charconv>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 template<typename Number>
 bool parseNumber(std::string_view text, Number &number)
--- a/src/libpomeloport/protocol/linkmessages_test.cpp
+++ b/src/libpomeloport/protocol/linkmessages_test.cpp
@@ -4,12 +4,14 @@
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 link::SnapshotUpdate sampleUpdate()
 {
     link::SnapshotUpdate update;
     update.declarationsIncluded = true;
+    update.madeAtUs = 7;
     update.snapshot.self = {"entry-1", 1'700'000'000'000};
     update.snapshot.configVersion = 300;
     update.snapshot.declarations.organisations.push_back({"clipback", "secret", 2.5});
@@ -30,6 +32,7 @@
     const auto decoded = decodeLinkMessage(encode(LinkMessage(sampleUpdate())));
     REQUIRE(decoded);
     const auto &snapshot = std::get<link::SnapshotUpdate>(*decoded).snapshot;
+    CHECK(std::get<link::SnapshotUpdate>(*decoded).madeAtUs == 7);
     CHECK(snapshot.self.incarnation == 1'700'000'000'000);
     CHECK(snapshot.declarations.organisations.at(0).shareWeight == 2.5);
     CHECK(snapshot.backends.at(0).state == BackendState::Leaving);
--- a/src/libpomeloport/protocol/peermessages.cpp
+++ b/src/libpomeloport/protocol/peermessages.cpp
@@ -3,7 +3,8 @@
 #include "pomeloport/lastreason.h"
 #include "pomeloport/protocol/compactarchive.h"
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 std::string encode(const PeerMessage &message)
 {
--- a/src/libpomeloport/protocol/snapshotassembler.cpp
+++ b/src/libpomeloport/protocol/snapshotassembler.cpp
@@ -4,7 +4,8 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 std::shared_ptr<const Snapshot> SnapshotAssembler::apply(link::SnapshotUpdate update, Instant now)
 {
--- a/src/libpomeloport/settings/daemonoptions.cpp
+++ b/src/libpomeloport/settings/daemonoptions.cpp
@@ -5,9 +5,11 @@
 #include <chrono>
 #include <iostream>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/libpomeloport/settings/declarationsparser.cpp
+++ b/src/libpomeloport/settings/declarationsparser.cpp
@@ -2,9 +2,11 @@
 
 #include <set>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr double MaximumWeight = 1e6;
 constexpr std::uint64_t MaximumKvTokens = 1'000'000'000;
--- a/src/libpomeloport/settings/settings.cpp
+++ b/src/libpomeloport/settings/settings.cpp
@@ -9,9 +9,11 @@
 #include <set>
 #include <sstream>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 int lineOf(const YAML::Node &node)
 {
--- a/src/libpomeloport/settings/settings_test.cpp
+++ b/src/libpomeloport/settings/settings_test.cpp
@@ -7,7 +7,8 @@
 using namespace pomeloport;
 using namespace std::chrono_literals;
 
-namespace {
+namespace
+{
 
 bool holds(const SettingsErrors &errors, const std::string &wanted)
 {
--- a/src/libpomeloport/state/declarations.cpp
+++ b/src/libpomeloport/state/declarations.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 bool matches(const Selector &selector, const Labels &labels)
 {
--- a/src/libpomeloport/state/declarationsdiff.cpp
+++ b/src/libpomeloport/state/declarationsdiff.cpp
@@ -5,9 +5,11 @@
 #include <array>
 #include <charconv>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 using Fields = std::map<std::string, std::string>;
 
--- a/src/libpomeloport/transport/addresses.h
+++ b/src/libpomeloport/transport/addresses.h
@@ -11,7 +11,8 @@
 #include <string_view>
 
 /// Numeric addresses in the form "IP:port".
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Parses a numeric "IP:port" ("[IP]:port" for version 6). Returns nothing, with a last reason, for other text.
 inline std::optional<boost::asio::ip::tcp::endpoint> parseEndpoint(std::string_view text)
--- a/src/libpomeloport/transport/authentication.cpp
+++ b/src/libpomeloport/transport/authentication.cpp
@@ -7,7 +7,8 @@
 
 #include <cstdlib>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 MessageMac hmacSha256(std::string_view key, std::string_view text)
 {
--- a/src/libpomeloport/transport/connectionpool.cpp
+++ b/src/libpomeloport/transport/connectionpool.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/asio/buffer.hpp>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 using boost::asio::ip::tcp;
 
--- a/src/libpomeloport/transport/connectionpool.h
+++ b/src/libpomeloport/transport/connectionpool.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// Idle client connections, by address.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Keeps idle connections for reuse. Sockets carry the context's own executor, so that each user may bind handlers to
 /// a strand of its own. Safe from any thread.
--- a/src/libpomeloport/transport/datagramsocket.cpp
+++ b/src/libpomeloport/transport/datagramsocket.cpp
@@ -15,11 +15,13 @@
 #include <array>
 #include <atomic>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using boost::asio::ip::udp;
 
-namespace {
+namespace
+{
 
 constexpr std::size_t TagBytes = 16;
 constexpr std::size_t IpUdpBytes = 28;
--- a/src/libpomeloport/transport/datagramsocket_test.cpp
+++ b/src/libpomeloport/transport/datagramsocket_test.cpp
@@ -13,7 +13,8 @@
 using namespace pomeloport;
 using boost::asio::ip::udp;
 
-namespace {
+namespace
+{
 
 /// Runs the context until a socket has received a number of datagrams, or for ten seconds.
 bool runUntilReceived(boost::asio::io_context &context, const DatagramSocket &socket, std::uint64_t count)
--- a/src/libpomeloport/transport/enginestream.cpp
+++ b/src/libpomeloport/transport/enginestream.cpp
@@ -18,9 +18,11 @@
 #include <utility>
 #include <vector>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -42,7 +44,8 @@
 
 } // namespace
 
-namespace detail {
+namespace detail
+{
 
 /// The session behind an EngineStream; kept alive by its pending operations.
 class EngineStreamSession : public std::enable_shared_from_this<EngineStreamSession>
--- a/src/libpomeloport/transport/enginestream_test.cpp
+++ b/src/libpomeloport/transport/enginestream_test.cpp
@@ -13,7 +13,8 @@
 namespace asio = boost::asio;
 using detail::ServerFixture;
 
-namespace {
+namespace
+{
 
 /// Collects the names of events and the texts of chunks until the last event.
 struct Recorder
--- a/src/libpomeloport/transport/framedlink.cpp
+++ b/src/libpomeloport/transport/framedlink.cpp
@@ -14,7 +14,8 @@
 #include <random>
 #include <vector>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 using boost::asio::ip::tcp;
 using detail::FramedSession;
--- a/src/libpomeloport/transport/framedlink_test.cpp
+++ b/src/libpomeloport/transport/framedlink_test.cpp
@@ -13,7 +13,8 @@
 using namespace pomeloport;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 
 constexpr std::chrono::seconds Patience{10};
 
--- a/src/libpomeloport/transport/framedsession.cpp
+++ b/src/libpomeloport/transport/framedsession.cpp
@@ -9,9 +9,11 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 constexpr std::size_t NonceBytes = 32;
 constexpr std::size_t LengthBytes = 4;
--- a/src/libpomeloport/transport/framedsession.h
+++ b/src/libpomeloport/transport/framedsession.h
@@ -15,7 +15,8 @@
 #include <string>
 
 /// One side of a framed TCP connection, from the exchange of nonces to its end.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Which side of the connection a session is; part of what each frame's HMAC covers.
 enum class FrameSide : char {
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -10,7 +10,8 @@
 namespace asio = boost::asio;
 using detail::ServerFixture;
 
-namespace {
+namespace
+{
 
 void answerPath(const std::shared_ptr<HttpExchange> &exchange)
 {
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -10,9 +10,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -11,9 +11,11 @@
 #include <cctype>
 #include <utility>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
--- a/src/libpomeloport/transport/httpconnection.h
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -15,7 +15,8 @@
 #include <vector>
 
 /// The server's side of one connection.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// What all connections of a server share.
 struct HttpServerState
--- a/src/libpomeloport/transport/httpfixture.h
+++ b/src/libpomeloport/transport/httpfixture.h
@@ -13,7 +13,8 @@
 #include <thread>
 
 /// A server on a loopback address for the unit tests of the transport layer.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 inline constexpr const char *TestAddress = "127.42.0.1:0";
 
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -6,9 +6,11 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 using asio::ip::tcp;
@@ -19,7 +21,8 @@
 
 } // namespace
 
-namespace detail {
+namespace detail
+{
 
 /// The accepting side of a server; kept alive by its pending operation.
 class HttpAcceptor : public std::enable_shared_from_this<HttpAcceptor>
--- a/src/libpomeloport/transport/httpstream.cpp
+++ b/src/libpomeloport/transport/httpstream.cpp
@@ -5,9 +5,11 @@
 #include <cstdio>
 
 /// The part of a connection that writes streamed replies in chunked encoding.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
--- a/src/libpomeloport/transport/platformclient.cpp
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -6,9 +6,11 @@
 
 #include <cctype>
 
-namespace pomeloport {
+namespace pomeloport
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusBadRequest = 400;
--- a/src/libpomeloport/transport/replaywindow.cpp
+++ b/src/libpomeloport/transport/replaywindow.cpp
@@ -1,6 +1,7 @@
 #include "pomeloport/transport/replaywindow.h"
 
-namespace pomeloport {
+namespace pomeloport
+{
 
 bool ReplayWindow::accept(const OwnerId &sender, std::uint64_t sequence)
 {
--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -2,7 +2,8 @@
 
 #include <boost/beast/http/error.hpp>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 ReplyParser::ReplyParser(Sink sink)
     : m_sink(std::move(sink))
--- a/src/libpomeloport/transport/replyparser.h
+++ b/src/libpomeloport/transport/replyparser.h
@@ -6,7 +6,8 @@
 #include <string_view>
 
 /// Parsing of streamed HTTP replies without copies.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Parses one reply and hands each piece of its body on as soon as it arrives, without chunk framing. Feed it by put().
 class ReplyParser : public boost::beast::http::basic_parser<false>
--- a/src/libpomeloport/transport/socketaddress.h
+++ b/src/libpomeloport/transport/socketaddress.h
@@ -10,7 +10,8 @@
 #include <string>
 
 /// Numeric socket addresses, "IP:port".
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Parses an address into an endpoint of the protocol. Returns nothing, with a last reason, for malformed text.
 template<typename Protocol>
--- a/src/libpomeloport/transport/targets.cpp
+++ b/src/libpomeloport/transport/targets.cpp
@@ -2,7 +2,8 @@
 
 #include <charconv>
 
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 std::string percentDecoded(std::string_view text)
 {
--- a/src/libpomeloport/transport/targets.h
+++ b/src/libpomeloport/transport/targets.h
@@ -5,7 +5,8 @@
 #include <string_view>
 
 /// Request targets of HTTP.
-namespace pomeloport::detail {
+namespace pomeloport::detail
+{
 
 /// Decodes %XX and '+'. Malformed escapes are kept as they are.
 std::string percentDecoded(std::string_view text);
--- a/src/libpomelorouter/answerwriter.cpp
+++ b/src/libpomelorouter/answerwriter.cpp
@@ -5,9 +5,11 @@
 #include <utility>
 #include <vector>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
-namespace {
+namespace
+{
 
 using namespace pomeloport;
 
--- a/src/libpomelorouter/answerwriter.h
+++ b/src/libpomelorouter/answerwriter.h
@@ -11,7 +11,8 @@
 #include <variant>
 
 /// Writing of answers to callers.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// Collects an answer and sends it whole.
 struct WholeAnswer
--- a/src/libpomelorouter/callerapi.cpp
+++ b/src/libpomelorouter/callerapi.cpp
@@ -16,11 +16,13 @@
 #include <functional>
 #include <string_view>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusAccepted = 202;
--- a/src/libpomelorouter/callerapi.h
+++ b/src/libpomelorouter/callerapi.h
@@ -8,7 +8,8 @@
 #include <string>
 
 /// The callers' HTTP interface.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// Answers one request of any kind; dispatches by method and path. Runs on the connection's executor.
 void handleExchange(const std::shared_ptr<RouterCore> &core, const std::shared_ptr<pomeloport::HttpExchange> &exchange);
--- a/src/libpomelorouter/claimrunner.cpp
+++ b/src/libpomelorouter/claimrunner.cpp
@@ -8,11 +8,13 @@
 
 #include <utility>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 ClaimLimits limitsOf(const RouterCore &core)
 {
--- a/src/libpomelorouter/claimrunner.h
+++ b/src/libpomelorouter/claimrunner.h
@@ -11,7 +11,8 @@
 #include <memory>
 #include <string>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 struct RouterCore;
 
--- a/src/libpomelorouter/controllerlink.cpp
+++ b/src/libpomelorouter/controllerlink.cpp
@@ -6,9 +6,11 @@
 #include "pomeloport/lastreason.h"
 #include "pomeloport/logging.h"
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
-namespace {
+namespace
+{
 
 using namespace pomeloport;
 
@@ -188,12 +190,13 @@
 
 void ControllerLink::take(link::SnapshotUpdate &message)
 {
+    const Instant madeAt{Duration{message.madeAtUs}};
     auto snapshot = m_assembler.apply(std::move(message), monotonicNow());
     if (!snapshot) {
         logEvent(LogLevel::Warning, "snapshot_rejected", {{"reason", lastReason()}});
         return;
     }
-    m_core.publish(std::move(snapshot));
+    m_core.publish(std::move(snapshot), madeAt);
 }
 
 void ControllerLink::take(const link::CacheUpdate &message)
--- a/src/libpomelorouter/controllerlink.h
+++ b/src/libpomelorouter/controllerlink.h
@@ -15,7 +15,8 @@
 #include <string>
 #include <unordered_map>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 struct RouterCore;
 
--- a/src/libpomelorouter/drainplan.h
+++ b/src/libpomelorouter/drainplan.h
@@ -6,7 +6,8 @@
 #include <optional>
 
 /// When a stopping router may refuse work, and when it may exit.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// The course of a drain: requests are admitted until no caller can hold a discovery answer that names this instance,
 /// then refused; the drain ends when the last request has ended after that. Without a start nothing is refused. Pure;
--- a/src/libpomelorouter/operatorapi.cpp
+++ b/src/libpomelorouter/operatorapi.cpp
@@ -6,11 +6,13 @@
 #include <boost/json.hpp>
 
 /// The operators' HTTP interface.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusAccepted = 202;
--- a/src/libpomelorouter/requestmetrics.cpp
+++ b/src/libpomelorouter/requestmetrics.cpp
@@ -11,11 +11,13 @@
 #include <utility>
 #include <vector>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 namespace bh = boost::histogram;
 
--- a/src/libpomelorouter/requestregistry.cpp
+++ b/src/libpomelorouter/requestregistry.cpp
@@ -2,7 +2,8 @@
 
 #include "requestsession.h"
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
--- a/src/libpomelorouter/requestregistry.h
+++ b/src/libpomelorouter/requestregistry.h
@@ -8,7 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 class RequestSession;
 
--- a/src/libpomelorouter/requestsession.cpp
+++ b/src/libpomelorouter/requestsession.cpp
@@ -9,11 +9,13 @@
 #include <algorithm>
 #include <utility>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Fleets up to this size get every candidate explained in traces.
 constexpr std::size_t ExplainedBackends = 64;
--- a/src/libpomelorouter/requestsession.h
+++ b/src/libpomelorouter/requestsession.h
@@ -18,7 +18,8 @@
 #include <string>
 #include <vector>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 class ClaimRunner;
 
--- a/src/libpomelorouter/router.cpp
+++ b/src/libpomelorouter/router.cpp
@@ -5,7 +5,8 @@
 #include "requestsession.h"
 #include "routercore.h"
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
@@ -48,7 +49,7 @@
 
 void Router::publish(std::shared_ptr<const Snapshot> snapshot)
 {
-    m_core->publish(std::move(snapshot));
+    m_core->publish(std::move(snapshot), Instant::max());
 }
 
 void Router::drain()
--- a/src/libpomelorouter/router_test.cpp
+++ b/src/libpomelorouter/router_test.cpp
@@ -16,7 +16,8 @@
 using Catch::Contains;
 using detail::ServerFixture;
 
-namespace {
+namespace
+{
 
 constexpr const char *OperatorToken = "operator";
 
--- a/src/libpomelorouter/routercore.cpp
+++ b/src/libpomelorouter/routercore.cpp
@@ -8,9 +8,11 @@
 #include <algorithm>
 #include <chrono>
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
-namespace {
+namespace
+{
 
 using namespace pomeloport;
 
@@ -53,7 +55,7 @@
 {
 }
 
-void RouterCore::publish(std::shared_ptr<const Snapshot> next)
+void RouterCore::publish(std::shared_ptr<const Snapshot> next, Instant madeAt)
 {
     const auto before = snapshot.current();
     if (before->configVersion != next->configVersion || before->admitting != next->admitting) {
@@ -65,9 +67,7 @@
                   {"backends", next->backends.size()}});
     }
     snapshot.publish(next);
-    const auto now = monotonicNow().time_since_epoch().count();
-    const auto previous = snapshotAt.exchange(now);
-    snapshotGap = previous == 0 ? 0 : now - previous;
+    snapshotAt = std::min(madeAt, monotonicNow()).time_since_epoch().count();
     placement.update(std::move(next), monotonicNow());
     wakeNext();
 }
@@ -117,8 +117,8 @@
 
 bool RouterCore::snapshotStale() const
 {
-    const Instant publishedAt{Duration{snapshotAt.load()}};
-    return link && monotonicNow() - publishedAt > settings.controllerGrace + Duration{snapshotGap.load()};
+    const Instant madeAt{Duration{snapshotAt.load()}};
+    return link && monotonicNow() - madeAt > settings.controllerGrace;
 }
 
 std::optional<Failure> RouterCore::admissionRefusal() const
--- a/src/libpomelorouter/routercore.h
+++ b/src/libpomelorouter/routercore.h
@@ -25,7 +25,8 @@
 #include <string>
 
 /// What the parts of one router share.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 class ControllerLink;
 
@@ -40,8 +41,8 @@
 {
     RouterCore(boost::asio::io_context &ioContext, RouterSettings routerSettings, std::uint64_t incarnation);
 
-    /// Publishes a snapshot to the request path.
-    void publish(std::shared_ptr<const pomeloport::Snapshot> next);
+    /// Publishes a snapshot to the request path; its age counts from the time at which the controller made it.
+    void publish(std::shared_ptr<const pomeloport::Snapshot> next, pomeloport::Instant madeAt);
 
     /// Tells the request that should get freed capacity first.
     void wakeNext();
@@ -79,10 +80,8 @@
     RequestMetrics metrics;
     TraceRing traces;
     RequestRegistry registry;
-    /// When the last snapshot was published, as a count of the monotonic clock; 0 before.
+    /// When the last snapshot was made, as a count of the monotonic clock; 0 before.
     std::atomic<pomeloport::Duration::rep> snapshotAt{0};
-    /// Time between the last two snapshots; larger fleets get them less often.
-    std::atomic<pomeloport::Duration::rep> snapshotGap{0};
     /// Set before requests arrive; null without a controller.
     std::shared_ptr<ControllerLink> link;
     std::shared_ptr<pomeloport::HttpServer> server;
--- a/src/libpomelorouter/routersettings.cpp
+++ b/src/libpomelorouter/routersettings.cpp
@@ -1,8 +1,10 @@
 #include "pomelorouter/routersettings.h"
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
-namespace {
+namespace
+{
 
 using namespace std::chrono_literals;
 using pomeloport::SettingsReader;
--- a/src/libpomelorouter/sessionactions.cpp
+++ b/src/libpomelorouter/sessionactions.cpp
@@ -9,11 +9,13 @@
 #include <utility>
 
 /// How a request session carries out the actions of its flow.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr std::chrono::milliseconds CancelTimeout{1000};
 /// Routing learns the pace of an engine from this many chunks of each attempt.
--- a/src/libpomelorouter/tracering.cpp
+++ b/src/libpomelorouter/tracering.cpp
@@ -1,6 +1,7 @@
 #include "tracering.h"
 
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 using namespace pomeloport;
 
--- a/src/libpomelorouter/tracering.h
+++ b/src/libpomelorouter/tracering.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// What happened to recent requests, for operators who ask why a request went where it went.
-namespace pomelorouter {
+namespace pomelorouter
+{
 
 /// One step of a request.
 struct TraceStep
--- a/src/pomelocontroller/backendpoller.cpp
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr unsigned StatusOk = 200;
 
--- a/src/pomelocontroller/backendpoller.h
+++ b/src/pomelocontroller/backendpoller.h
@@ -14,7 +14,8 @@
 #include <string>
 #include <vector>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Reads load reports and cache events of the backend servers whose home this instance is. Runs on the context's only
 /// thread.
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -8,11 +8,13 @@
 
 #include <algorithm>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Time between two ticks of the control decisions, and between those of what may wait longer.
 constexpr std::chrono::milliseconds TickInterval{40};
--- a/src/pomelocontroller/controller.h
+++ b/src/pomelocontroller/controller.h
@@ -27,7 +27,8 @@
 
 /// The controller of one instance: drives the control decisions with sockets and clocks. Everything runs on the only
 /// thread of its context, as none of it is on the path of a request.
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// One controller. Shared ownership keeps it alive while calls are under way.
 class Controller : public std::enable_shared_from_this<Controller>
--- a/src/pomelocontroller/controllerlinks.cpp
+++ b/src/pomelocontroller/controllerlinks.cpp
@@ -8,15 +8,19 @@
 #include <algorithm>
 
 /// The controller's side of the link to its router and of the queries of other controllers.
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Time between two snapshots without a cause, for each backend server and at least.
 constexpr Duration SnapshotInterval = std::chrono::milliseconds(250);
 constexpr Duration SnapshotPerBackend = std::chrono::milliseconds(2);
+/// At most; routers stop admitting when they hear nothing for a few of these.
+constexpr Duration MaximumSnapshotInterval = std::chrono::seconds(1);
 /// Time for a router or a peer to answer a question.
 constexpr std::chrono::milliseconds QueryTimeout{1'000};
 /// Added to a request's deadline while a group is waited for.
@@ -35,6 +39,7 @@
     for (const auto &[backend, blocks] : m_cache) {
         m_router->send(link::CacheUpdate{backend, true, {blocks.begin(), blocks.end()}, {}});
     }
+    feed(controlevent::Tick{});
     sendSnapshot(steadyNow());
 }
 
@@ -70,8 +75,10 @@
     m_snapshotWanted = false;
     m_lastSnapshot = now;
     const auto backends = static_cast<int>(m_backends.servers().size());
-    m_nextSnapshot = now + std::max(SnapshotInterval, SnapshotPerBackend * backends);
+    m_nextSnapshot =
+        now + std::clamp<Duration>(SnapshotPerBackend * backends, SnapshotInterval, MaximumSnapshotInterval);
     link::SnapshotUpdate update;
+    update.madeAtUs = now.time_since_epoch().count();
     update.snapshot.self = m_self;
     update.snapshot.region = m_settings.region;
     update.snapshot.failureDomain = m_settings.failureDomain;
--- a/src/pomelocontroller/controllersettings.cpp
+++ b/src/pomelocontroller/controllersettings.cpp
@@ -1,6 +1,7 @@
 #include "controllersettings.h"
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace std::chrono_literals;
 
--- a/src/pomelocontroller/controllersettings.h
+++ b/src/pomelocontroller/controllersettings.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 /// Settings of one controller.
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Everything that a controller learns from its settings file. Addresses are "IP:port".
 struct ControllerSettings
--- a/src/pomelocontroller/engineowner.cpp
+++ b/src/pomelocontroller/engineowner.cpp
@@ -8,11 +8,13 @@
 
 #include <set>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusConflict = 409;
--- a/src/pomelocontroller/engineowner.h
+++ b/src/pomelocontroller/engineowner.h
@@ -15,7 +15,8 @@
 #include <string>
 #include <vector>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Cares for the engines whose home this instance is: keeps the leases on them, orders their models and frees memory
 /// that no live owner needs. Runs on the context's only thread.
--- a/src/pomelocontroller/groupdesk.cpp
+++ b/src/pomelocontroller/groupdesk.cpp
@@ -1,10 +1,12 @@
 #include "groupdesk.h"
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Bits of a reservation number below the coordinator's incarnation.
 constexpr unsigned ReservationBits = 20;
--- a/src/pomelocontroller/groupdesk.h
+++ b/src/pomelocontroller/groupdesk.h
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Runs the coordinator of engine groups and answers those who asked. Runs on the context's only thread.
 class GroupDesk
--- a/src/pomelocontroller/main.cpp
+++ b/src/pomelocontroller/main.cpp
@@ -13,7 +13,8 @@
 #include <optional>
 
 /// The program pomelo-controller.
-namespace {
+namespace
+{
 
 using pomeloport::DaemonFailed;
 using pomeloport::DaemonStopped;
--- a/src/pomelocontroller/peerlinks.cpp
+++ b/src/pomelocontroller/peerlinks.cpp
@@ -3,11 +3,13 @@
 #include "pomeloport/lastreason.h"
 #include "pomeloport/logging.h"
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
-namespace {
+namespace
+{
 
 /// Messages that may wait for one peer's connection.
 constexpr std::size_t MaximumWaiting = 256;
--- a/src/pomelocontroller/peerlinks.h
+++ b/src/pomelocontroller/peerlinks.h
@@ -16,7 +16,8 @@
 #include <string>
 #include <vector>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Queries between controllers over framed TCP. Connections to peers are opened on demand and closed when the peer is
 /// no longer among the instances. Runs on the context's only thread.
--- a/src/pomelocontroller/routerlink.cpp
+++ b/src/pomelocontroller/routerlink.cpp
@@ -3,7 +3,8 @@
 #include "pomeloport/lastreason.h"
 #include "pomeloport/logging.h"
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 using namespace pomeloport;
 
--- a/src/pomelocontroller/routerlink.h
+++ b/src/pomelocontroller/routerlink.h
@@ -10,7 +10,8 @@
 #include <optional>
 #include <string>
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// Accepts the link of the instance's own router. The latest connection counts. Runs on the context's only thread.
 class RouterLink : public std::enable_shared_from_this<RouterLink>
--- a/src/pomelocontroller/steadynow.h
+++ b/src/pomelocontroller/steadynow.h
@@ -2,7 +2,8 @@
 
 #include "pomeloport/clock.h"
 
-namespace pomelocontroller {
+namespace pomelocontroller
+{
 
 /// The process's monotonic clock.
 inline pomeloport::Instant steadyNow()
--- a/src/pomeloctl/applycommand.cpp
+++ b/src/pomeloctl/applycommand.cpp
@@ -13,9 +13,11 @@
 #include <random>
 #include <thread>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 using pomeloport::ApplyResult;
 using namespace std::chrono_literals;
--- a/src/pomeloctl/commands.cpp
+++ b/src/pomeloctl/commands.cpp
@@ -10,9 +10,11 @@
 
 #include <iostream>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 ExitCode fail(const std::string &command)
 {
--- a/src/pomeloctl/commands.h
+++ b/src/pomeloctl/commands.h
@@ -5,7 +5,8 @@
 #include <vector>
 
 /// The subcommands of pomeloctl. Each prints its result and returns the exit code.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// Checks a file of declarations and prints every error.
 ExitCode validate(const Options &options);
--- a/src/pomeloctl/commandtable.cpp
+++ b/src/pomeloctl/commandtable.cpp
@@ -1,6 +1,7 @@
 #include "commands.h"
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 const std::vector<Command> &commands()
 {
--- a/src/pomeloctl/declarationsfile.cpp
+++ b/src/pomeloctl/declarationsfile.cpp
@@ -8,7 +8,8 @@
 #include <iostream>
 #include <sstream>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 std::optional<DeclarationsFile> loadDeclarations(const std::string &fileName)
 {
--- a/src/pomeloctl/declarationsfile.h
+++ b/src/pomeloctl/declarationsfile.h
@@ -10,7 +10,8 @@
 #include <vector>
 
 /// Files of declarations and how differences are printed.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// A file of declarations that was read and checked.
 struct DeclarationsFile
--- a/src/pomeloctl/diffcommand.cpp
+++ b/src/pomeloctl/diffcommand.cpp
@@ -10,9 +10,11 @@
 
 #include <iostream>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 ExitCode printDifference(const std::optional<DeclarationsFile> &before,
                          const std::optional<DeclarationsFile> &after,
--- a/src/pomeloctl/main.cpp
+++ b/src/pomeloctl/main.cpp
@@ -4,7 +4,8 @@
 #include <string>
 #include <vector>
 
-namespace {
+namespace
+{
 
 void printOverview(std::ostream &out)
 {
--- a/src/pomeloctl/operatorclient.cpp
+++ b/src/pomeloctl/operatorclient.cpp
@@ -8,9 +8,11 @@
 
 #include <utility>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned HttpOk = 200;
 constexpr unsigned HttpMultipleChoices = 300;
--- a/src/pomeloctl/operatorclient.h
+++ b/src/pomeloctl/operatorclient.h
@@ -8,7 +8,8 @@
 #include <string>
 
 /// Blocking calls to the operators' interface of routers.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// Calls one router, or the first that answers. Not to be shared between threads.
 class OperatorClient
--- a/src/pomeloctl/options.cpp
+++ b/src/pomeloctl/options.cpp
@@ -6,9 +6,11 @@
 
 #include <iostream>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 using namespace std::chrono_literals;
--- a/src/pomeloctl/options.h
+++ b/src/pomeloctl/options.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// Command line of pomeloctl.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// Exit codes, as listed by --help and in docs/OPERATIONS.md.
 enum ExitCode : int {
--- a/src/pomeloctl/output.cpp
+++ b/src/pomeloctl/output.cpp
@@ -9,9 +9,11 @@
 #include <string>
 #include <vector>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 using Row = std::vector<std::string>;
 
--- a/src/pomeloctl/output.h
+++ b/src/pomeloctl/output.h
@@ -7,7 +7,8 @@
 #include <iosfwd>
 
 /// Printing of results.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// Prints a JSON document as one line of JSON, or as tables: scalar fields of the top level as "key value" lines, each
 /// array of objects as a table of its own with one column per field.
--- a/src/pomeloctl/storeclient.cpp
+++ b/src/pomeloctl/storeclient.cpp
@@ -9,9 +9,11 @@
 #include <thread>
 #include <utility>
 
-namespace pomeloctl {
+namespace pomeloctl
+{
 
-namespace {
+namespace
+{
 
 constexpr int TimeoutsBeforeGivingUp = 10;
 
--- a/src/pomeloctl/storeclient.h
+++ b/src/pomeloctl/storeclient.h
@@ -7,7 +7,8 @@
 #include <optional>
 
 /// Blocking calls to the platform's object API.
-namespace pomeloctl {
+namespace pomeloctl
+{
 
 /// Reads and edits the declarations in the store. Not to be shared between threads.
 class StoreClient
--- a/src/pomeloload/caller.cpp
+++ b/src/pomeloload/caller.cpp
@@ -5,7 +5,8 @@
 
 #include <algorithm>
 
-namespace pomeloload {
+namespace pomeloload
+{
 
 using pomelofake::steadyNow;
 using pomeloport::Instant;
@@ -13,7 +14,8 @@
 using pomeloport::Verdict;
 using std::chrono::milliseconds;
 
-namespace {
+namespace
+{
 
 constexpr unsigned HttpOk = 200;
 constexpr unsigned MaximumResends = 3;
--- a/src/pomeloload/caller.h
+++ b/src/pomeloload/caller.h
@@ -18,7 +18,8 @@
 #include <string>
 
 /// One request of a load test, from its place in the trace to its outcome.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// Sends a request as a careful caller does: to the next address when one does not answer; an idempotent request again
 /// when its answer broke off; an action again under its key until its caller knows what became of it or its time is up.
--- a/src/pomeloload/callerstream.cpp
+++ b/src/pomeloload/callerstream.cpp
@@ -8,13 +8,15 @@
 #include <charconv>
 #include <optional>
 
-namespace pomeloload {
+namespace pomeloload
+{
 
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-namespace {
+namespace
+{
 
 constexpr auto ConnectTimeout = std::chrono::seconds(1);
 constexpr std::size_t ReadBufferBytes = 16'384;
@@ -39,7 +41,8 @@
 
 } // namespace
 
-namespace detail {
+namespace detail
+{
 
 /// Connects, sends and reads; handlers keep the session alive.
 class CallerSession : public std::enable_shared_from_this<CallerSession>
--- a/src/pomeloload/callerstream.h
+++ b/src/pomeloload/callerstream.h
@@ -8,7 +8,8 @@
 #include <string_view>
 
 /// One call to an entry instance whose reply is read piece by piece, as a caller reads a stream.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// How a call went as far as its connection is concerned.
 enum class CallEnd {
@@ -28,7 +29,8 @@
     std::function<void(CallEnd end)> done;
 };
 
-namespace detail {
+namespace detail
+{
 class CallerSession;
 }
 
--- a/src/pomeloload/endpoints.cpp
+++ b/src/pomeloload/endpoints.cpp
@@ -3,9 +3,11 @@
 #include "pomelofake/program.h"
 #include "pomeloport/protocol/jsonfields.h"
 
-namespace pomeloload {
+namespace pomeloload
+{
 
-namespace {
+namespace
+{
 
 constexpr auto AskTimeout = std::chrono::milliseconds(500);
 constexpr auto AskRetryDelay = std::chrono::milliseconds(50);
--- a/src/pomeloload/endpoints.h
+++ b/src/pomeloload/endpoints.h
@@ -13,7 +13,8 @@
 #include <vector>
 
 /// Discovery as a caller does it.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// Asks entry instances for the addresses to use and keeps the answer for its lifetime. Runs on one thread.
 class Endpoints
--- a/src/pomeloload/eventparser.h
+++ b/src/pomeloload/eventparser.h
@@ -4,7 +4,8 @@
 #include <string_view>
 
 /// Reading of server-sent events.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// One event: its name, empty for plain data, and its data.
 struct ServerEvent
--- a/src/pomeloload/loadplan.cpp
+++ b/src/pomeloload/loadplan.cpp
@@ -5,9 +5,11 @@
 
 #include <algorithm>
 
-namespace pomeloload {
+namespace pomeloload
+{
 
-namespace {
+namespace
+{
 
 /// Longest prompt of a trace, in tokens.
 std::uint64_t longestPrompt(const std::vector<pomelofake::TraceEntry> &trace)
--- a/src/pomeloload/loadplan.h
+++ b/src/pomeloload/loadplan.h
@@ -9,7 +9,8 @@
 #include <vector>
 
 /// What a load test sends, and what it expects back.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// What the command line asks for.
 struct LoadOptions
--- a/src/pomeloload/loadstatistics.cpp
+++ b/src/pomeloload/loadstatistics.cpp
@@ -6,9 +6,11 @@
 #include <cstdio>
 #include <numeric>
 
-namespace pomeloload {
+namespace pomeloload
+{
 
-namespace {
+namespace
+{
 
 constexpr unsigned BinCount = 400;
 constexpr double ShortestMilliseconds = 0.1;
--- a/src/pomeloload/loadstatistics.h
+++ b/src/pomeloload/loadstatistics.h
@@ -11,7 +11,8 @@
 #include <vector>
 
 /// What a load test counts and measures.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// How a request ended for its caller.
 enum class Outcome {
--- a/src/pomeloload/loadtest.cpp
+++ b/src/pomeloload/loadtest.cpp
@@ -5,11 +5,13 @@
 
 #include <cstdio>
 
-namespace pomeloload {
+namespace pomeloload
+{
 
 using pomelofake::steadyNow;
 
-namespace {
+namespace
+{
 
 constexpr auto ProgressInterval = std::chrono::seconds(1);
 constexpr auto ServiceRetryDelay = std::chrono::milliseconds(200);
--- a/src/pomeloload/loadtest.h
+++ b/src/pomeloload/loadtest.h
@@ -6,7 +6,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 /// Runs a trace against the system.
-namespace pomeloload {
+namespace pomeloload
+{
 
 /// Starts each request when the trace says so, whatever became of the earlier ones, waits for all outcomes, and asks
 /// the services how often each action ran.
--- a/src/pomeloload/main.cpp
+++ b/src/pomeloload/main.cpp
@@ -8,7 +8,8 @@
 #include <unistd.h>
 
 /// Sends a trace of requests to the system and checks every answer.
-namespace {
+namespace
+{
 
 namespace po = boost::program_options;
 
--- a/src/pomelorouter/main.cpp
+++ b/src/pomelorouter/main.cpp
@@ -17,7 +17,8 @@
 #include <vector>
 
 /// The program pomelo-router.
-namespace {
+namespace
+{
 
 using pomeloport::DaemonFailed;
 using pomeloport::DaemonStopped;
