Tell routers what group coordinators have set aside

Cause: BackendView::groupTokens was read by placement and never filled by a controller, so that routers went on filling the memory that a group was being collected from. The effect on waiting times of groups in whole programs is not measured.

--- a/src/include/pomeloport/coordination/backendtable.h
+++ b/src/include/pomeloport/coordination/backendtable.h
@@ -33,6 +33,13 @@
     /// Replaces the names, as by listedName(), of servers that the platform lists as leaving.
     void setListedLeaving(std::set<std::uint32_t> names);
 
+    /// Replaces what group coordinators have set aside, each entry of theirs; entries of one engine add up.
+    void setSetAside(const std::vector<control::EngineSetAside> &entries);
+
+    /// The message form of what the own group coordinators have set aside, in tokens for each engine. The
+    /// entries with the most tokens are kept when they are too many for a datagram.
+    static std::vector<control::EngineSetAside> compactSetAside(const std::map<std::string, std::uint64_t> &tokens);
+
     /// The short form of a server's name in control::InstanceReport::listedLeaving.
     static std::uint32_t listedName(std::string_view name);
 
@@ -85,6 +92,8 @@
     std::vector<std::string> m_catalogue;
     std::vector<InstanceView> m_instances;
     std::set<std::uint32_t> m_listedLeaving;
+    /// Tokens set aside for groups, by the short form of the engine's name.
+    std::map<std::uint32_t, std::uint64_t> m_setAside;
     bool m_stateChanged = false;
 };
 
--- a/src/include/pomeloport/protocol/controlmessages.h
+++ b/src/include/pomeloport/protocol/controlmessages.h
@@ -261,6 +261,21 @@
     }
 };
 
+/// Memory of an engine that a group coordinator has set aside, for groups granted and for the one being collected.
+struct EngineSetAside
+{
+    /// Name as in EngineLoad.
+    std::uint32_t engine = 0;
+    /// In units of 256 tokens, rounded up.
+    std::uint32_t units = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(engine, units);
+    }
+};
+
 /// Load of one instance and of the engines whose home it is.
 struct InstanceReport
 {
@@ -272,11 +287,13 @@
     std::vector<EngineLoad> engines;
     /// Backend servers that the platform lists as leaving, if this instance reads the list; names as in EngineLoad.
     std::vector<std::uint32_t> listedLeaving;
+    /// What this instance has set aside as a group coordinator.
+    std::vector<EngineSetAside> setAside;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(id, sequence, configVersion, load, engines, listedLeaving);
+        archive(id, sequence, configVersion, load, engines, listedLeaving, setAside);
     }
 };
 
--- a/src/libpomeloport/coordination/backendtable.cpp
+++ b/src/libpomeloport/coordination/backendtable.cpp
@@ -5,6 +5,7 @@
 #include "pomeloport/coordination/rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <utility>
 
@@ -20,6 +21,8 @@
 constexpr std::uint32_t FailuresUntilGone = 3;
 
 constexpr std::uint64_t TokenUnit = 256;
+/// Engines with the most memory set aside that one report names; keeps a report within a datagram.
+constexpr std::size_t MaximumSetAside = 32;
 constexpr double RateUnit = 16;
 constexpr double StepUnitSeconds = 1e-4;
 constexpr std::uint64_t EpochFold = 65'521;
@@ -178,6 +181,28 @@
     }
 }
 
+void BackendTable::setSetAside(const std::vector<control::EngineSetAside> &entries)
+{
+    m_setAside.clear();
+    for (const auto &entry : entries) {
+        m_setAside[entry.engine] += entry.units * TokenUnit;
+    }
+}
+
+std::vector<control::EngineSetAside> BackendTable::compactSetAside(const std::map<std::string, std::uint64_t> &tokens)
+{
+    std::vector<control::EngineSetAside> result;
+    for (const auto &[engine, count] : tokens) {
+        if (count > 0) {
+            const auto units = (count + TokenUnit - 1) / TokenUnit;
+            result.push_back({detail::nameHash(engine), static_cast<std::uint32_t>(units)});
+        }
+    }
+    std::ranges::sort(result, std::greater(), &control::EngineSetAside::units);
+    result.resize(std::min(result.size(), MaximumSetAside));
+    return result;
+}
+
 std::uint32_t BackendTable::listedName(std::string_view name)
 {
     return detail::nameHash(name);
@@ -213,6 +238,8 @@
         view.state = entry.state;
         view.report = entry.report;
         view.reportAgeMs = ageMs(entry.reportedAt, now);
+        const auto setAside = m_setAside.find(detail::nameHash(name));
+        view.groupTokens = setAside == m_setAside.end() ? 0 : setAside->second;
         result.push_back(std::move(view));
     }
     return result;
--- a/src/libpomeloport/coordination/backendtable_test.cpp
+++ b/src/libpomeloport/coordination/backendtable_test.cpp
@@ -108,3 +108,20 @@
     other.heard(report, Start + 2s);
     CHECK(other.views(Start).at(0).state == BackendState::Live);
 }
+
+TEST_CASE("memory set aside for groups reaches the views of other instances")
+{
+    BackendTable table({"entry-2", 1}, "queensland");
+    table.setDeclarations(twoEngines());
+    auto entries = BackendTable::compactSetAside({{"engine-1", 300'000}, {"engine-2", 0}});
+    REQUIRE(entries.size() == 1);
+    const auto again = BackendTable::compactSetAside({{"engine-1", 1}});
+    entries.insert(entries.end(), again.begin(), again.end());
+    table.setSetAside(entries);
+    const auto views = table.views(Start);
+    CHECK(views.at(0).groupTokens >= 300'001);
+    CHECK(views.at(0).groupTokens <= 300'001 + 512);
+    CHECK(views.at(1).groupTokens == 0);
+    table.setSetAside({});
+    CHECK(table.views(Start).at(0).groupTokens == 0);
+}
--- a/src/pomelocontroller/controller.cpp
+++ b/src/pomelocontroller/controller.cpp
@@ -302,6 +302,7 @@
     report.load = static_cast<std::uint8_t>(std::clamp(m_routerStatus.load, 0.0, 1.0) * LoadUnits);
     report.engines = m_backends.ownLoads(now);
     report.listedLeaving.assign(m_listedLeaving.begin(), m_listedLeaving.end());
+    report.setAside = BackendTable::compactSetAside(m_groups.setAside());
     feed(controlevent::OwnReport{std::move(report), urgent});
 }
 
@@ -309,11 +310,13 @@
 void Controller::hearReports()
 {
     std::set<std::uint32_t> listed = m_listedLeaving;
+    auto setAside = BackendTable::compactSetAside(m_groups.setAside());
     for (const auto &[name, held] : m_plane.load().reports()) {
         if (name == m_self.instance) {
             continue;
         }
         listed.insert(held.report.listedLeaving.begin(), held.report.listedLeaving.end());
+        setAside.insert(setAside.end(), held.report.setAside.begin(), held.report.setAside.end());
         auto &seen = m_heardSequences[name];
         if (seen != held.report.sequence) {
             seen = held.report.sequence;
@@ -321,6 +324,7 @@
         }
     }
     m_backends.setListedLeaving(std::move(listed));
+    m_backends.setSetAside(setAside);
 }
 
 /// Tells peers whether callers should come here: only with a running router that does not drain, and while admitting.
--- a/src/pomelocontroller/groupdesk.cpp
+++ b/src/pomelocontroller/groupdesk.cpp
@@ -65,6 +65,11 @@
     handle(groupevent::Tick{}, now);
 }
 
+std::map<std::string, std::uint64_t> GroupDesk::setAside() const
+{
+    return m_coordinator.setAside();
+}
+
 void GroupDesk::handle(const GroupEvent &event, Instant now)
 {
     for (const auto &action : m_coordinator.handle(event, now)) {
--- a/src/pomelocontroller/groupdesk.h
+++ b/src/pomelocontroller/groupdesk.h
@@ -34,6 +34,9 @@
 
     void tick(pomeloport::Instant now);
 
+    /// Tokens of each engine that groups hold or that are kept for the one being collected.
+    std::map<std::string, std::uint64_t> setAside() const;
+
 private:
     struct Waiting
     {
