--- a/src/fakeplatform/platformhost.cpp
+++ b/src/fakeplatform/platformhost.cpp
@@ -251,6 +251,7 @@
             replyError(exchange, HttpStatus::TooManyRequests, "rate limit");
             break;
         case StoreStatus::Unavailable:
+        case StoreStatus::HistoryGone:
             replyError(exchange, HttpStatus::Unavailable, "unavailable");
             break;
         }
--- /dev/null
+++ b/src/include/pomeloentry/engineplacement.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "pomeloentry/routing.h"
+#include "pomeloentry/workledger.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Chooses the engines that read and answer a prompt, from the declared cost model and all work in flight. Pure: no
+/// clock, no randomness.
+///
+/// It answers loads in which short prompts with tight pauses between events meet long ones whose reading would stretch
+/// these pauses. Each choice is priced in the worth that it puts at risk: of the prompt itself, of streams whose pauses
+/// it stretches, and of prompts that it delays. Streams with tight pauses share few engines, which leaves the others to
+/// long prompts, and long prompts are read by several engines at once.
+namespace pomeloentry
+{
+
+/// A prompt that needs a place.
+struct PromptWork
+{
+    std::uint64_t promptTokens = 0;
+    /// Expected tokens of the answer.
+    std::uint64_t answerTokens = 0;
+    Duration eventGap{};
+    /// When the first event should come, and when nobody waits for it any more.
+    Instant due{};
+    Instant deadline{};
+    /// What an answer in time is worth.
+    double worth = 1;
+};
+
+/// An engine that may be chosen.
+struct EngineCandidate
+{
+    std::uint32_t key = 0;
+    const BackendEntry *backend = nullptr;
+    /// Observed speed: 1 as declared, more is slower.
+    double pace = 1;
+    /// Share of its work at which it failed lately, 0 to 1.
+    double risk = 0;
+};
+
+/// Where a prompt goes.
+struct EngineChoice
+{
+    const BackendEntry *first = nullptr;
+    std::vector<const BackendEntry *> helpers;
+    /// Predicted time until the first event.
+    Duration predictedFirst{};
+    /// Worth that the choice puts at risk.
+    double loss = 0;
+    /// The part of the loss that others bear.
+    double damage = 0;
+    /// Reading time of each part, in milliseconds.
+    double partMs = 0;
+};
+
+/// Weights of the choice.
+struct EnginePolicy
+{
+    /// Share of an answer's worth that is lost when it is late; the users' sheets give a quarter for late answers.
+    double lateLoss = 0.75;
+    /// Share of a pause's bound from which a predicted pause counts as risky, and from which it counts as missed.
+    double gapSafe = 0.8;
+    double gapMissed = 1.0;
+    /// The same for the time of the first event.
+    double firstSafe = 0.8;
+    double firstMissed = 1.0;
+    /// Pauses below this bound are tight: the work of one long read.
+    Duration tightGap = std::chrono::milliseconds(400);
+    /// Share of worth that it costs to bring a tight stream to an engine that has none.
+    double spreadCost = 0.08;
+    /// Share of worth that a delay of one whole target costs, so that sooner is better among equals.
+    double delayCost = 0.05;
+    /// Share of worth that each further engine costs: one more that may fail.
+    double helperCost = 0.004;
+    /// Engines that read one prompt at most, besides the first: the wire's limit.
+    std::size_t maximumHelpers = 16;
+    /// Streams that one engine writes at most, as a share of its slots.
+    double slotShare = 0.9;
+    /// Share of an engine's memory that is filled.
+    double memoryShare = 0.95;
+    /// Time on the way to an engine and back, in milliseconds.
+    double roundTripMs = 3;
+};
+
+/// The reading time of a whole prompt on one engine, in milliseconds.
+double readingMs(const EngineCost &cost, double promptTokens);
+
+/// The time of one pass with this many writers and this much context, without reading, in milliseconds.
+double passMs(const EngineCost &cost, double writers, double contextTokens);
+
+/// The best place for a prompt; nothing when no engine has a free slot and memory.
+std::optional<EngineChoice> chooseEngines(const PromptWork &work,
+                                          const EngineCost &cost,
+                                          const std::vector<EngineCandidate> &engines,
+                                          const WorkLedger::ByBackend &inFlight,
+                                          const EnginePolicy &policy,
+                                          Instant now);
+
+/// What an engine is doing, as the ledger tells.
+struct EngineLoad
+{
+    struct Writer
+    {
+        double gapMs = 0;
+        double worth = 0;
+    };
+    struct Reader
+    {
+        double dueInMs = 0;
+        double finishMs = 0;
+        double worth = 0;
+    };
+    std::vector<Writer> writers;
+    std::vector<Reader> readers;
+    /// Reading that is left, in milliseconds, and the part of it that goes before other reads.
+    double backlogMs = 0;
+    double helperBacklogMs = 0;
+    double contextTokens = 0;
+    std::uint64_t memoryTokens = 0;
+    /// Requests answered there; those that it only helps to read.
+    std::size_t requests = 0;
+    std::size_t helping = 0;
+    bool tight = false;
+};
+
+/// Sums up the work at one engine. Reading is served in the order in which it was sent.
+EngineLoad engineLoad(const std::vector<WorkLedger::Placed> &placed,
+                      const EngineCost &cost,
+                      double pace,
+                      const EnginePolicy &policy,
+                      Instant now);
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/include/pomeloentry/entryplacement.h
@@ -0,0 +1,162 @@
+#pragma once
+
+#include "pomeloentry/engineplacement.h"
+#include "pomeloentry/routing.h"
+#include "pomeloentry/workledger.h"
+
+#include "pomeloport/coordination/circuitbreaker.h"
+#include "pomeloport/coordination/requestflow.h"
+#include "pomeloport/coordination/retrybudget.h"
+#include "pomeloport/coordination/route.h"
+
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// Chooses backend servers for relayed calls, and keeps the books that the choice needs: work in flight on all
+/// instances, what was learned of each backend server, and the retry budget.
+namespace pomeloentry
+{
+
+/// What placement has to know of one call.
+struct CallWork
+{
+    /// Unique among the calls of this process.
+    std::uint64_t sequence = 0;
+    std::string service;
+    CallKind kind = CallKind::NonIdempotent;
+    std::uint64_t promptTokens = 0;
+    std::uint64_t answerTokens = 0;
+    Duration eventGap{};
+    Duration target{};
+    Instant arrival{};
+    Instant deadline{};
+    /// Whether an attempt without an answer may be repeated.
+    bool repeatable = false;
+};
+
+/// How a choice came about, for logs.
+struct ChoiceNote
+{
+    std::size_t candidates = 0;
+    std::size_t excluded = 0;
+    Duration predictedFirst{};
+    double loss = 0;
+    double damage = 0;
+    const char *reason = "";
+};
+
+/// Settings of placement.
+struct EntryPolicy
+{
+    EnginePolicy engines;
+    pomeloport::BreakerLimits breaker;
+    pomeloport::RetryBudgetLimits retries;
+    /// A call for which nothing is free is looked at again after this time.
+    Duration waitStep = std::chrono::milliseconds(20);
+    /// Share of the time until its deadline that a call waits for a place before it is refused.
+    double longestWait = 0.35;
+    /// Requests beyond its slots that a backend server of a plain service is given.
+    std::uint32_t serviceQueue = 4;
+    /// An attempt at a repeatable call without an answer is repeated after this multiple of the predicted time.
+    double patienceFactor = 3;
+    /// Least time until such an attempt is repeated.
+    Duration leastPatience = std::chrono::milliseconds(40);
+    /// Prompt tokens whose answer has the worth 1, and the power by which worth grows with size.
+    double unitTokens = 5000;
+    double worthPower = 0.75;
+};
+
+/// Chooses places for calls. Safe from any thread.
+class EntryPlacement
+{
+public:
+    explicit EntryPlacement(const EntryPolicy &policy = {});
+
+    /// Adopts a new state of the fleet.
+    void update(std::shared_ptr<const FleetState> state);
+
+    /// Chooses a place for an attempt; the members and helpers of a route are ids of backend servers.
+    pomeloport::RouteDecision choose(const CallWork &work, const pomeloport::RouteQuery &query, Instant now, ChoiceNote &note);
+
+    /// Books an attempt, notes its first answer, and closes it.
+    void opened(const CallWork &work, std::uint32_t attempt, const pomeloport::Route &route, Instant now);
+    void answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now);
+    void closed(const CallWork &work,
+                std::uint32_t attempt,
+                const std::string &backend,
+                pomeloport::action::CloseAttempt::Outcome outcome,
+                Instant now);
+
+    /// Notes that a backend server failed in another way, such as a helper that another one named.
+    void failed(const std::string &backend, Instant now);
+
+    /// Notes a call that arrived, which earns a share of a retry.
+    void callArrived();
+
+    /// Takes one retry from the budget, if there is one left.
+    bool permitRetry(Instant now);
+
+    /// Takes what another instance told of its work.
+    void takeReport(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now);
+
+    /// Changes of own work for other instances; nothing when there are none.
+    std::optional<WorkReport> takeChanges(Instant now);
+    std::vector<WorkReport> wholeList(Instant now);
+
+    /// Whether the named backend server may get new work: known, not leaving.
+    bool usable(const std::string &backend) const;
+
+    /// Own attempts in flight.
+    std::size_t inFlight() const;
+
+private:
+    /// What was learned of one incarnation of a backend server.
+    struct Health
+    {
+        pomeloport::CircuitBreaker breaker;
+        /// Decaying share of attempts that failed.
+        double risk = 0;
+        /// Moving average of the time to the first byte, in milliseconds; zero before the first.
+        double answerMs = 0;
+    };
+
+    struct ServiceView
+    {
+        std::vector<const BackendEntry *> backends;
+        std::vector<std::uint32_t> keys;
+    };
+
+    pomeloport::RouteDecision choosePrompt(const CallWork &work,
+                                           const EngineCost &cost,
+                                           const pomeloport::RouteQuery &query,
+                                           Instant now,
+                                           ChoiceNote &note);
+    pomeloport::RouteDecision choosePlain(const CallWork &work,
+                                          const pomeloport::RouteQuery &query,
+                                          Instant now,
+                                          ChoiceNote &note);
+    pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const;
+    Health &health(std::uint32_t key);
+    std::uint32_t keyOf(const std::string &backend) const;
+    void noteFailure(std::uint32_t key, Instant now);
+    const EngineCost *engineOf(const std::string &service) const;
+    double worthOf(const CallWork &work) const;
+
+    const EntryPolicy m_policy;
+    mutable std::mutex m_mutex;
+    std::shared_ptr<const FleetState> m_state;
+    std::unordered_map<std::string, ServiceView> m_services;
+    std::unordered_map<std::uint32_t, Health> m_health;
+    WorkLedger m_ledger;
+    pomeloport::RetryBudget m_retries;
+    std::uint64_t m_turn = 0;
+};
+
+/// Tokens of memory that a call holds at the engine that answers it.
+std::uint64_t memoryTokens(const CallWork &work);
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/include/pomeloentry/workledger.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include "pomeloport/clock.h"
+#include "pomeloport/protocol/identity.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/// What is in flight at backend servers, sent by this instance and by others. Own work is known exactly; others tell
+/// theirs by datagrams, so it may be milliseconds old, and expires when its sender falls silent.
+namespace pomeloentry
+{
+
+using pomeloport::Duration;
+using pomeloport::Instant;
+
+/// Work at one backend server.
+struct WorkPart
+{
+    /// See backendKey().
+    std::uint32_t backend = 0;
+    /// Reading time of the part, as the cost model has it, in milliseconds.
+    float readMs = 0;
+    /// Memory held there, in tokens.
+    std::uint32_t tokens = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(backend, readMs, tokens);
+    }
+};
+
+/// One attempt in flight. The first part is where the answer is written; the others only read.
+struct WorkItem
+{
+    /// Unique among the work of one process.
+    std::uint64_t key = 0;
+    /// Whether the first event has come, so that reading is over.
+    bool writing = false;
+    Instant startedAt{};
+    /// When the first event came.
+    Instant writingSince{};
+    /// When the first event should come.
+    Instant due{};
+    Duration eventGap{};
+    /// Events that the answer is expected to have.
+    std::uint16_t events = 0;
+    /// What an answer in time is worth more than one that is late.
+    float worth = 0;
+    std::vector<WorkPart> parts;
+};
+
+/// A work item as told to other instances: times relative to the sending.
+struct WorkNotice
+{
+    std::uint64_t key = 0;
+    bool writing = false;
+    std::uint32_t ageMs = 0;
+    std::uint32_t writingAgeMs = 0;
+    std::int32_t dueInMs = 0;
+    std::uint16_t gapMs = 0;
+    std::uint16_t events = 0;
+    float worth = 0;
+    std::vector<WorkPart> parts;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(key, writing, ageMs, writingAgeMs, dueInMs, gapMs, events, worth, parts);
+    }
+};
+
+/// A change of the sender's work. A whole list replaces what was known of the sender; it comes in pieces with one
+/// epoch, and the last one drops what the epoch did not name.
+struct WorkReport
+{
+    bool whole = false;
+    bool lastPiece = false;
+    std::uint32_t epoch = 0;
+    std::vector<WorkNotice> items;
+    std::vector<std::uint64_t> ended;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(whole, lastPiece, epoch, items, ended);
+    }
+};
+
+/// Keeps all known work. Not thread safe.
+class WorkLedger
+{
+public:
+    /// Work of others counts for this long after its sender was last heard: a few of the intervals at which whole
+    /// lists are sent.
+    static constexpr Duration Expiry = std::chrono::milliseconds(1500);
+
+    /// Own work.
+    void open(WorkItem item);
+    void firstEvent(std::uint64_t key, Instant now);
+    void close(std::uint64_t key);
+    const std::map<std::uint64_t, WorkItem> &own() const;
+
+    /// Takes what another process told.
+    void take(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now);
+
+    /// Drops the work of senders that are silent.
+    void expire(Instant now);
+
+    /// Work at a backend server, by all senders: each item with the index of its part there.
+    struct Placed
+    {
+        const WorkItem *item = nullptr;
+        std::size_t part = 0;
+    };
+    using ByBackend = std::unordered_map<std::uint32_t, std::vector<Placed>>;
+
+    /// All work by backend server. Valid until the next change.
+    const ByBackend &byBackend() const;
+
+    /// Changes of own work since the last call, for other instances.
+    WorkReport takeChanges(Instant now);
+
+    /// All own work, in pieces of a bounded number of items.
+    std::vector<WorkReport> wholeList(Instant now);
+
+    /// Whether there are changes to tell.
+    bool hasChanges() const;
+
+private:
+    struct Sender
+    {
+        std::uint64_t incarnation = 0;
+        Instant heardAt{};
+        std::map<std::uint64_t, WorkItem> items;
+        std::map<std::uint64_t, std::uint32_t> epochs;
+    };
+
+    std::map<std::uint64_t, WorkItem> m_own;
+    std::map<std::string, Sender> m_others;
+    std::vector<std::uint64_t> m_changed;
+    std::vector<std::uint64_t> m_ended;
+    std::uint32_t m_epoch = 0;
+    mutable ByBackend m_index;
+    mutable bool m_indexed = false;
+};
+
+} // namespace pomeloentry
--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -94,7 +94,8 @@
 {
     std::uint32_t attempt = 0;
     std::uint64_t count = 0;
-    std::uint64_t digest = 0;
+    /// Digest of all chunks; empty where the backend server's protocol has none.
+    std::optional<std::uint64_t> digest;
 };
 
 /// The attempt's connection failed or stalled after AttemptSending.
@@ -290,6 +291,9 @@
     /// Time kept before the deadline to release the claim of an action that has not started, at most a quarter of the
     /// request's whole time.
     Duration settleTime = std::chrono::milliseconds(250);
+    /// Whether a non-idempotent request needs a key and a claim in the store. Off where each resend of a caller counts
+    /// as a new request, so that the one process that holds it knows all of its attempts.
+    bool claims = true;
 };
 
 /// Asks the retry budget for one more attempt.
--- a/src/include/pomeloport/coordination/route.h
+++ b/src/include/pomeloport/coordination/route.h
@@ -85,6 +85,14 @@
     std::uint64_t segmentEnd = 0;
 };
 
+/// An engine that reads a part of a prompt for the engine that decodes.
+struct RouteHelper
+{
+    std::string backend;
+    /// Names memory that is set aside there; empty where the decoding engine keeps the part.
+    std::string ticket;
+};
+
 /// Where an attempt runs: one member, or three and more for a prompt larger than an engine; the last one decodes.
 struct Route
 {
@@ -92,6 +100,10 @@
     EnginePriority priority = EnginePriority::Normal;
     /// Names the reservation of a group at its coordinator; 0 for a single engine.
     std::uint64_t reservation = 0;
+    /// An attempt at a repeatable request without a first chunk for this long counts as broken; zero for no limit.
+    Duration patience{};
+    /// Engines that read parts of the prompt for the first member.
+    std::vector<RouteHelper> helpers;
 };
 
 /// The prompt needs a group of engines; ask the group coordinator of the model's pool.
--- a/src/include/pomeloport/protocol/store.h
+++ b/src/include/pomeloport/protocol/store.h
@@ -2,6 +2,7 @@
 
 #include "pomeloport/nametable.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -44,6 +45,10 @@
     std::uint64_t ifVersion = 0;
     /// The new value for Create and Update, at most one megabyte.
     std::string value;
+    /// For List: continues behind this name; empty begins.
+    std::string after;
+    /// For Watch: how long to wait for a change; zero takes the client's own time.
+    std::chrono::milliseconds wait{};
 };
 
 /// One object as stored. Versions come from one counter of the whole store and only rise.
@@ -57,22 +62,25 @@
     bool removed = false;
 };
 
-/// How a call ended. Unavailable leaves open whether a write took effect; Rejected says that it did not.
+/// How a call ended. Unavailable leaves open whether a write took effect; Rejected says that it did not. HistoryGone
+/// answers a Watch that asks for changes which the store has forgotten.
 enum class StoreStatus {
     Ok,
     NotFound,
     Conflict,
     Rejected,
     Unavailable,
+    HistoryGone,
 };
 
-constexpr NameTable<StoreStatus, 5> nameTable(StoreStatus /*unused*/)
+constexpr NameTable<StoreStatus, 6> nameTable(StoreStatus /*unused*/)
 {
     return {{{StoreStatus::Ok, "ok"},
              {StoreStatus::NotFound, "not_found"},
              {StoreStatus::Conflict, "conflict"},
              {StoreStatus::Rejected, "rejected"},
-             {StoreStatus::Unavailable, "unavailable"}}};
+             {StoreStatus::Unavailable, "unavailable"},
+             {StoreStatus::HistoryGone, "history_gone"}}};
 }
 
 /// The reply to a call. A Watch that times out without a change is Ok with no objects.
@@ -85,6 +93,8 @@
     std::vector<StoreObject> objects;
     /// The version of the store when it answered.
     std::uint64_t storeVersion = 0;
+    /// Whether a List goes on behind its last object.
+    bool more = false;
 };
 
 } // namespace pomeloport
--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pomeloport/transport/httpmessage.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
 
@@ -47,6 +49,8 @@
     std::map<std::string, std::string> query;
     /// Header fields by lower-case name; the last value of a repeated field.
     std::map<std::string, std::string> headers;
+    /// All header fields as sent, in order.
+    HttpFields fields;
     std::string body;
     /// The peer's IP address and port.
     std::string remoteAddress;
@@ -84,6 +88,12 @@
                      std::string contentType,
                      std::vector<std::pair<std::string, std::string>> headers = {});
 
+    /// Sends a whole reply with exactly these header fields, and those that frame the body.
+    void reply(HttpAnswerHead head, std::string body);
+
+    /// Starts a reply in chunked encoding with exactly these header fields, and those that frame the body.
+    void beginStream(HttpAnswerHead head);
+
     /// Sends one piece of a streamed reply and reports whether it was handed to the network. Pieces written before that
     /// are kept in memory and sent together, so a sender with bounded memory waits for the callback. Empty pieces are
     /// reported without being sent.
@@ -131,6 +141,9 @@
     /// Number of connections with a request whose reply the peer may not have received to its end.
     std::size_t busyConnections() const;
 
+    /// Replaces the limits, also for connections that are open.
+    void setLimits(HttpLimits limits);
+
     /// Sends "Connection: close" with every reply from now on.
     void closeAfterReply();
 
--- a/src/include/pomeloport/transport/platformclient.h
+++ b/src/include/pomeloport/transport/platformclient.h
@@ -41,6 +41,14 @@
     bool leaving = false;
 };
 
+/// The HTTP form of the object API's calls.
+struct StoreCodec
+{
+    std::function<HttpCall(const StoreCall &call)> request;
+    /// Understands the answer to a call; "sent" as in HttpCallback.
+    std::function<StoreReply(const StoreCall &call, const std::optional<HttpReply> &reply, bool sent)> reply;
+};
+
 /// Sends calls to the platform. Safe from any thread; callbacks run on threads of the context, once each.
 class PlatformClient
 {
@@ -51,6 +59,12 @@
     /// Talks to the platform at "IP:port"; calls other than watches fail as Unavailable after the timeout.
     PlatformClient(boost::asio::io_context &context, std::string address, std::chrono::milliseconds timeout);
 
+    /// The same for a platform whose object API has another form.
+    PlatformClient(boost::asio::io_context &context,
+                   std::string address,
+                   std::chrono::milliseconds timeout,
+                   StoreCodec codec);
+
     /// Executes a call of the object API. A write that certainly never left is Rejected; one whose answer is missing
     /// is Unavailable.
     void call(const StoreCall &call, std::function<void(StoreReply)> callback);
@@ -64,6 +78,7 @@
 private:
     std::string m_address;
     std::chrono::milliseconds m_timeout;
+    StoreCodec m_codec;
     std::shared_ptr<HttpClient> m_client;
 };
 
--- /dev/null
+++ b/src/libpomeloentry/entry.cpp
@@ -0,0 +1,260 @@
+#include "pomeloentry/entry.h"
+
+#include "admission.h"
+#include "entrycore.h"
+#include "entrysession.h"
+#include "fleetwatch.h"
+#include "peermesh.h"
+
+#include "pomeloentry/wire.h"
+
+#include "pomeloport/lastreason.h"
+#include "pomeloport/logging.h"
+#include "pomeloport/transport/httpserver.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+
+namespace pomeloentry
+{
+
+using namespace pomeloport;
+
+namespace
+{
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+
+/// Callers may use an answer about addresses for three times its lifetime; then none comes here any more.
+constexpr int AddressLifetimes = 3;
+/// Time before the end at which new calls are turned away, so that those under way can finish.
+constexpr std::chrono::milliseconds ClosingTime{2500};
+/// Time kept before the process is killed.
+constexpr std::chrono::milliseconds ExitMargin{400};
+constexpr std::chrono::milliseconds LeaveCheckInterval{50};
+/// Beyond the idle time that callers know, so that a connection is not closed as its next request arrives.
+constexpr double IdleSlack = 1.25;
+
+/// Instances that each take their part of the retry slack; a fleet may have fewer or more.
+constexpr double BudgetShares = 9;
+/// Part of the shared budget that is used, which leaves room for refused arrivals that were not foreseen.
+constexpr double BudgetCaution = 0.7;
+
+void sendRefusal(HttpExchange &exchange, const Refusal &refusal)
+{
+    logEvent(LogLevel::Info,
+             "rejected",
+             {{"id", refusal.attemptId},
+              {"status", refusal.status},
+              {"reason", nameOf(refusal.reason)},
+              {"detail", refusal.detail}});
+    auto body = std::string(R"({"verdict":"not_run","reason":")") + std::string(nameOf(refusal.reason)) + "\"}\n";
+    exchange.reply(wire::encodeFailure(refusal.status, refusal.attemptId, refusal.retryAfter), std::move(body));
+}
+
+} // namespace
+
+EntryPolicy EntryCore::policyOf(const EntrySettings &settings)
+{
+    EntryPolicy policy;
+    const double slack = settings.retrySlack * BudgetCaution / BudgetShares;
+    policy.retries.perRequest = settings.retryRatio * BudgetCaution;
+    policy.retries.greatest = slack / 2;
+    policy.retries.perSecond = slack / 2 / static_cast<double>(settings.retryWindow.count());
+    return policy;
+}
+
+struct Entry::Implementation : std::enable_shared_from_this<Implementation>
+{
+    explicit Implementation(std::shared_ptr<EntryCore> entryCore)
+        : core(std::move(entryCore))
+        , timer(core->context)
+    {
+    }
+
+    bool listen()
+    {
+        const auto &settings = core->settings;
+        mesh = PeerMesh::start(core);
+        if (!mesh) {
+            return false;
+        }
+        watch = std::make_shared<FleetWatch>(core, mesh);
+        const auto open = [this](const std::string &address, void (Implementation::*handler)(const Exchange &)) {
+            return HttpServer::listen(core->context,
+                                      address,
+                                      {},
+                                      [weak = weak_from_this(), handler](const Exchange &exchange) {
+                                          if (const auto self = weak.lock()) {
+                                              ((*self).*handler)(exchange);
+                                          }
+                                      });
+        };
+        callers = open(settings.callerAddress, &Implementation::serveCaller);
+        readiness = callers ? open(settings.readinessAddress, &Implementation::serveReadiness) : nullptr;
+        discovery = readiness ? open(settings.discoveryAddress, &Implementation::serveDiscovery) : nullptr;
+        peers = discovery ? open(settings.peerAddress, &Implementation::servePeer) : nullptr;
+        metrics = peers ? open(settings.metricsAddress, &Implementation::servePeer) : nullptr;
+        return metrics != nullptr;
+    }
+
+    void run()
+    {
+        watch->start([weak = weak_from_this()](const FleetState &state) {
+            const auto self = weak.lock();
+            if (self && state.routing) {
+                self->adoptLimits(state.routing->limits);
+            }
+        });
+    }
+
+    using Exchange = std::shared_ptr<HttpExchange>;
+
+    void adoptLimits(const CallLimits &limits)
+    {
+        HttpLimits next;
+        next.headerBytes = limits.headerBytes;
+        next.bodyBytes = limits.bodyBytes;
+        next.headerTimeout = limits.headerTimeout;
+        longestIdle = std::max(longestIdle, limits.idleTimeout);
+        next.idleTimeout =
+            std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(longestIdle.count()) * IdleSlack));
+        callers->setLimits(next);
+    }
+
+    void serveCaller(const Exchange &exchange)
+    {
+        auto admitted = admit(*core, exchange->request(), steadyNow());
+        if (const auto *refusal = std::get_if<Refusal>(&admitted)) {
+            sendRefusal(*exchange, *refusal);
+            return;
+        }
+        auto &call = std::get<AdmittedCall>(admitted);
+        logEvent(LogLevel::Info,
+                 "admitted",
+                 {{"id", call.request.attemptId},
+                  {"organisation", call.organisation},
+                  {"route", call.route->name},
+                  {"kind", nameOf(call.route->kind)},
+                  {"service", call.work.service},
+                  {"version", call.fleet->routing->version},
+                  {"prompt", call.work.promptTokens},
+                  {"time_ms", (call.work.deadline - call.work.arrival).count() / 1000}});
+        std::make_shared<EntrySession>(core, exchange, std::move(call))->start();
+    }
+
+    void serveReadiness(const Exchange &exchange)
+    {
+        const bool ready = wire::isReadiness(exchange->request()) && mesh->state() == EntryState::Ready;
+        exchange->reply(ready ? StatusOk : StatusUnavailable, "text/plain", std::string(nameOf(mesh->state())));
+    }
+
+    void serveDiscovery(const Exchange &exchange)
+    {
+        if (!wire::isDiscovery(exchange->request())) {
+            exchange->reply(StatusNotFound, "text/plain", "not found\n");
+            return;
+        }
+        const auto addresses = mesh->callerAddresses();
+        if (addresses.empty()) {
+            exchange->reply(StatusUnavailable, "text/plain", "no instance is ready\n");
+            return;
+        }
+        exchange->reply(StatusOk, "application/json", wire::encodeAddresses(addresses, core->settings.addressLifetime));
+    }
+
+    void servePeer(const Exchange &exchange)
+    {
+        if (exchange->request().path == "/state") {
+            exchange->reply(StatusOk, "application/octet-stream", watch->encodedCopy());
+            return;
+        }
+        if (exchange->request().path == "/metrics") {
+            exchange->reply(StatusOk, "text/plain; version=0.0.4", core->metrics.text());
+            return;
+        }
+        exchange->reply(StatusNotFound, "text/plain", "not found\n");
+    }
+
+    void leave(std::function<void()> callback)
+    {
+        left = std::move(callback);
+        core->leaving = true;
+        leavingSince = std::chrono::steady_clock::now();
+        mesh->announce();
+        callers->closeAfterReply();
+        checkLeft();
+    }
+
+    void checkLeft()
+    {
+        const auto now = std::chrono::steady_clock::now();
+        const auto &settings = core->settings;
+        const auto end = leavingSince + settings.stopTime - ExitMargin;
+        const auto invited = leavingSince + settings.addressLifetime * AddressLifetimes;
+        core->closing = now >= std::max(invited, end - ClosingTime);
+        const bool served = core->openCalls == 0 && callers->busyConnections() == 0;
+        if (now >= end || (now >= invited && served)) {
+            logEvent(LogLevel::Info, "left", {{"open_calls", core->openCalls.load()}});
+            callers->stopAccepting();
+            watch->stop();
+            mesh->stop();
+            left();
+            return;
+        }
+        timer.expires_after(LeaveCheckInterval);
+        timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+            if (!error) {
+                self->checkLeft();
+            }
+        });
+    }
+
+    std::shared_ptr<EntryCore> core;
+    boost::asio::steady_timer timer;
+    std::shared_ptr<PeerMesh> mesh;
+    std::shared_ptr<FleetWatch> watch;
+    std::shared_ptr<HttpServer> callers;
+    std::shared_ptr<HttpServer> readiness;
+    std::shared_ptr<HttpServer> discovery;
+    std::shared_ptr<HttpServer> peers;
+    std::shared_ptr<HttpServer> metrics;
+    std::chrono::milliseconds longestIdle{0};
+    std::chrono::steady_clock::time_point leavingSince;
+    std::function<void()> left;
+};
+
+Entry::Entry(std::shared_ptr<Implementation> implementation)
+    : m_implementation(std::move(implementation))
+{
+}
+
+Entry::~Entry() = default;
+
+std::unique_ptr<Entry> Entry::start(boost::asio::io_context &context,
+                                    const EntrySettings &settings,
+                                    std::uint64_t incarnation)
+{
+    auto implementation =
+        std::make_shared<Implementation>(std::make_shared<EntryCore>(context, settings, incarnation));
+    if (!implementation->listen()) {
+        return nullptr;
+    }
+    implementation->run();
+    return std::unique_ptr<Entry>(new Entry(std::move(implementation)));
+}
+
+void Entry::leave(std::function<void()> left)
+{
+    m_implementation->leave(std::move(left));
+}
+
+std::uint64_t Entry::openCalls() const
+{
+    return m_implementation->core->openCalls;
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -0,0 +1,329 @@
+#include "pomeloentry/entryplacement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pomeloentry
+{
+
+using pomeloport::Failure;
+using pomeloport::ReasonCode;
+using pomeloport::Route;
+using pomeloport::RouteDecision;
+using pomeloport::RouteQuery;
+using pomeloport::Verdict;
+using pomeloport::WaitUntil;
+
+namespace
+{
+
+/// Weight of a new outcome in the decaying share of failures.
+constexpr double RiskWeight = 0.25;
+/// Weight of a new answer in the moving average of answer times.
+constexpr double AnswerWeight = 0.2;
+/// Answer time assumed before the first one, in milliseconds.
+constexpr double AssumedAnswerMs = 20;
+/// How much a backend server that failed every attempt is worse than one that failed none.
+constexpr double RiskPenalty = 10;
+/// When a caller may ask again that found no place.
+constexpr std::chrono::milliseconds RetryAfterNoPlace{300};
+/// Attempts of one request are numbered below this in the keys of work items.
+constexpr std::uint64_t AttemptsPerCall = 256;
+
+std::uint64_t itemKey(const CallWork &work, std::uint32_t attempt)
+{
+    return work.sequence * AttemptsPerCall + attempt % AttemptsPerCall;
+}
+
+bool contains(const std::vector<std::string> &list, const std::string &text)
+{
+    return std::ranges::find(list, text) != list.end();
+}
+
+} // namespace
+
+std::uint64_t memoryTokens(const CallWork &work)
+{
+    return work.promptTokens + work.answerTokens;
+}
+
+EntryPlacement::EntryPlacement(const EntryPolicy &policy)
+    : m_policy(policy)
+    , m_state(std::make_shared<FleetState>())
+    , m_retries(policy.retries)
+{
+}
+
+void EntryPlacement::update(std::shared_ptr<const FleetState> state)
+{
+    const std::lock_guard lock(m_mutex);
+    m_state = std::move(state);
+    m_services.clear();
+    std::unordered_map<std::uint32_t, Health> health;
+    for (const auto &[id, backend] : m_state->backends) {
+        const auto key = backendKey(backend);
+        const auto known = m_health.find(key);
+        health.emplace(key, known != m_health.end() ? known->second : Health{pomeloport::CircuitBreaker(m_policy.breaker)});
+        auto &service = m_services[backend.service];
+        service.backends.push_back(&backend);
+        service.keys.push_back(key);
+    }
+    m_health = std::move(health);
+}
+
+RouteDecision EntryPlacement::choose(const CallWork &work, const RouteQuery &query, Instant now, ChoiceNote &note)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.expire(now);
+    const auto *engine = engineOf(work.service);
+    if (engine && work.promptTokens > 0) {
+        return choosePrompt(work, *engine, query, now, note);
+    }
+    return choosePlain(work, query, now, note);
+}
+
+RouteDecision EntryPlacement::choosePrompt(const CallWork &work,
+                                           const EngineCost &cost,
+                                           const RouteQuery &query,
+                                           Instant now,
+                                           ChoiceNote &note)
+{
+    const auto found = m_services.find(work.service);
+    std::vector<EngineCandidate> candidates;
+    if (found != m_services.end()) {
+        const auto &view = found->second;
+        for (std::size_t i = 0; i < view.backends.size(); ++i) {
+            const auto &known = health(view.keys[i]);
+            const bool avoided = contains(query.avoid, view.backends[i]->id);
+            if (view.backends[i]->leaving || avoided || !known.breaker.permits(now)) {
+                ++note.excluded;
+                continue;
+            }
+            candidates.push_back({view.keys[i], view.backends[i], 1, known.risk});
+        }
+    }
+    note.candidates = candidates.size();
+    if (candidates.empty()) {
+        return waitOrRefuse(work, now, note);
+    }
+    const PromptWork prompt{work.promptTokens,
+                            work.answerTokens,
+                            work.eventGap,
+                            work.arrival + work.target,
+                            work.deadline,
+                            worthOf(work)};
+    const auto choice = chooseEngines(prompt, cost, candidates, m_ledger.byBackend(), m_policy.engines, now);
+    if (!choice) {
+        note.reason = "no engine has a free slot and memory";
+        return waitOrRefuse(work, now, note);
+    }
+    note.predictedFirst = choice->predictedFirst;
+    note.loss = choice->loss;
+    note.damage = choice->damage;
+    Route route;
+    route.members.push_back({choice->first->id, 0, work.promptTokens});
+    for (const auto *helper : choice->helpers) {
+        route.helpers.push_back({helper->id, {}});
+    }
+    const auto patience = pomeloport::fromSeconds(pomeloport::seconds(choice->predictedFirst) * m_policy.patienceFactor);
+    route.patience = std::max<Duration>(patience, work.target * 2);
+    return route;
+}
+
+RouteDecision EntryPlacement::choosePlain(const CallWork &work, const RouteQuery &query, Instant now, ChoiceNote &note)
+{
+    const auto found = m_services.find(work.service);
+    const BackendEntry *best = nullptr;
+    double bestScore = 0;
+    double bestMs = 0;
+    const auto &inFlight = m_ledger.byBackend();
+    const std::size_t count = found == m_services.end() ? 0 : found->second.backends.size();
+    ++m_turn;
+    for (std::size_t step = 0; step < count; ++step) {
+        // Equals take turns.
+        const auto i = (step + m_turn) % count;
+        const auto *backend = found->second.backends[i];
+        const auto &known = health(found->second.keys[i]);
+        const auto placed = inFlight.find(found->second.keys[i]);
+        const auto running = placed == inFlight.end() ? 0 : placed->second.size();
+        if (backend->leaving || contains(query.avoid, backend->id) || !known.breaker.permits(now)
+            || running >= backend->slots + m_policy.serviceQueue) {
+            ++note.excluded;
+            continue;
+        }
+        ++note.candidates;
+        const double answerMs = known.answerMs > 0 ? known.answerMs : AssumedAnswerMs;
+        const double queued = std::max(1.0, static_cast<double>(running + 1) / std::max(backend->slots, 1U));
+        const double score = answerMs * queued * (1 + RiskPenalty * known.risk) * (1 + 0.1 * static_cast<double>(running));
+        if (!best || score < bestScore) {
+            best = backend;
+            bestScore = score;
+            bestMs = answerMs * queued;
+        }
+    }
+    if (!best) {
+        note.reason = "no backend server is ready with a free place";
+        return waitOrRefuse(work, now, note);
+    }
+    note.predictedFirst = pomeloport::fromSeconds(bestMs / 1000);
+    Route route;
+    route.members.push_back({best->id, 0, 0});
+    const auto patience = pomeloport::fromSeconds(bestMs * m_policy.patienceFactor / 1000);
+    route.patience = std::max(patience, m_policy.leastPatience);
+    return route;
+}
+
+RouteDecision EntryPlacement::waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const
+{
+    const auto span = work.deadline - work.arrival;
+    const auto latest = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.longestWait);
+    if (now + m_policy.waitStep < latest) {
+        return WaitUntil{now + m_policy.waitStep};
+    }
+    note.reason = *note.reason ? note.reason : "no backend server is usable";
+    return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
+}
+
+void EntryPlacement::opened(const CallWork &work, std::uint32_t attempt, const Route &route, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    WorkItem item;
+    item.key = itemKey(work, attempt);
+    item.startedAt = now;
+    item.due = work.arrival + work.target;
+    item.eventGap = work.eventGap;
+    item.worth = static_cast<float>(worthOf(work));
+    const auto *engine = engineOf(work.service);
+    const auto parts = static_cast<double>(route.helpers.size() + 1);
+    const double readMs =
+        engine ? readingMs(*engine, static_cast<double>(work.promptTokens)) / parts : 0.0;
+    const auto add = [&](const std::string &backend, std::uint64_t tokens) {
+        item.parts.push_back({keyOf(backend), static_cast<float>(readMs), static_cast<std::uint32_t>(tokens)});
+    };
+    add(route.members.front().backend, engine ? memoryTokens(work) : 0);
+    for (const auto &helper : route.helpers) {
+        add(helper.backend, 0);
+    }
+    for (const auto &part : item.parts) {
+        health(part.backend).breaker.sent(now);
+    }
+    m_ledger.open(std::move(item));
+}
+
+void EntryPlacement::answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto key = itemKey(work, attempt);
+    const auto found = m_ledger.own().find(key);
+    if (found == m_ledger.own().end() || found->second.writing) {
+        return;
+    }
+    auto &known = health(keyOf(backend));
+    known.breaker.succeeded(now);
+    const double took = pomeloport::seconds(now - found->second.startedAt) * 1000;
+    known.answerMs = known.answerMs == 0 ? took : known.answerMs + AnswerWeight * (took - known.answerMs);
+    m_ledger.firstEvent(key, now);
+}
+
+void EntryPlacement::closed(const CallWork &work,
+                            std::uint32_t attempt,
+                            const std::string &backend,
+                            pomeloport::action::CloseAttempt::Outcome outcome,
+                            Instant now)
+{
+    using Outcome = pomeloport::action::CloseAttempt::Outcome;
+    const std::lock_guard lock(m_mutex);
+    const auto key = keyOf(backend);
+    if (outcome == Outcome::Broken || outcome == Outcome::Refused) {
+        noteFailure(key, now);
+    }
+    if (outcome == Outcome::Completed) {
+        auto &known = health(key);
+        known.risk -= RiskWeight * known.risk;
+    }
+    m_ledger.close(itemKey(work, attempt));
+}
+
+void EntryPlacement::failed(const std::string &backend, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    noteFailure(keyOf(backend), now);
+}
+
+void EntryPlacement::noteFailure(std::uint32_t key, Instant now)
+{
+    auto &known = health(key);
+    known.breaker.failed(now);
+    known.risk += RiskWeight * (1 - known.risk);
+}
+
+void EntryPlacement::callArrived()
+{
+    const std::lock_guard lock(m_mutex);
+    m_retries.requestStarted();
+}
+
+bool EntryPlacement::permitRetry(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_retries.take(now);
+}
+
+void EntryPlacement::takeReport(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.take(sender, report, now);
+}
+
+std::optional<WorkReport> EntryPlacement::takeChanges(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.hasChanges() ? std::optional(m_ledger.takeChanges(now)) : std::nullopt;
+}
+
+std::vector<WorkReport> EntryPlacement::wholeList(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.wholeList(now);
+}
+
+bool EntryPlacement::usable(const std::string &backend) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_state->backends.find(backend);
+    return found != m_state->backends.end() && !found->second.leaving;
+}
+
+std::size_t EntryPlacement::inFlight() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.own().size();
+}
+
+EntryPlacement::Health &EntryPlacement::health(std::uint32_t key)
+{
+    return m_health.try_emplace(key, Health{pomeloport::CircuitBreaker(m_policy.breaker)}).first->second;
+}
+
+std::uint32_t EntryPlacement::keyOf(const std::string &backend) const
+{
+    const auto found = m_state->backends.find(backend);
+    return found == m_state->backends.end() ? 0 : backendKey(found->second);
+}
+
+const EngineCost *EntryPlacement::engineOf(const std::string &service) const
+{
+    if (!m_state->routing) {
+        return nullptr;
+    }
+    const auto found = m_state->routing->services.find(service);
+    return found != m_state->routing->services.end() && found->second.engine ? &*found->second.engine : nullptr;
+}
+
+double EntryPlacement::worthOf(const CallWork &work) const
+{
+    return std::pow(static_cast<double>(std::max<std::uint64_t>(work.promptTokens, 1)) / m_policy.unitTokens,
+                    m_policy.worthPower);
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/entrysession.cpp
@@ -0,0 +1,527 @@
+#include "entrysession.h"
+
+#include "pomeloport/logging.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomeloentry
+{
+
+using namespace pomeloport;
+
+namespace
+{
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusMultipleChoices = 300;
+constexpr unsigned StatusServerError = 500;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+
+/// Bytes that wait for a slow caller before reading from the backend server pauses.
+constexpr std::size_t PauseBytes = 128 * 1024;
+/// Largest answer that is held until it is whole.
+constexpr std::size_t MaximumHeldBytes = 16 * 1024 * 1024;
+/// A kept connection that was idle for longer is not trusted with a call that cannot be repeated.
+constexpr std::chrono::milliseconds FreshConnection{300};
+constexpr std::chrono::milliseconds KeptConnection{30'000};
+/// A stream counts as stalled after this multiple of its longest pause, within these bounds.
+constexpr int StallFactor = 4;
+constexpr Duration LeastStall = std::chrono::milliseconds(1000);
+constexpr Duration MostStall = std::chrono::milliseconds(3000);
+/// Kept of a call's time for telling the caller.
+constexpr std::chrono::milliseconds AnswerMargin{5};
+
+bool isSuccess(unsigned status)
+{
+    return status >= StatusOk && status < StatusMultipleChoices;
+}
+
+RequestSpec specOf(const AdmittedCall &call)
+{
+    RequestSpec spec;
+    spec.organisation = call.organisation;
+    spec.kind = call.route->name;
+    spec.backendKind = call.work.promptTokens > 0 ? BackendKind::Engine : BackendKind::Service;
+    spec.promptTokens = call.work.promptTokens;
+    spec.maxTokens = call.work.answerTokens;
+    spec.arrival = call.work.arrival;
+    spec.deadline = call.work.deadline;
+    spec.nonIdempotent = !call.work.repeatable;
+    spec.deterministic = call.route->resumable;
+    return spec;
+}
+
+FlowLimits limitsOf(const AdmittedCall &call)
+{
+    FlowLimits limits;
+    limits.claims = false;
+    limits.maximumAttempts = std::max(call.route->maximumAttempts, 1U);
+    limits.firstRetryDelay = std::chrono::milliseconds(5);
+    limits.maximumRetryDelay = std::chrono::milliseconds(200);
+    const Duration gap = call.route->eventGap * StallFactor;
+    limits.stallTimeout = std::clamp(gap, LeastStall, MostStall);
+    return limits;
+}
+
+unsigned statusOf(const Failure &failure)
+{
+    if (failure.verdict == Verdict::NotRun) {
+        return failure.reason == ReasonCode::Overloaded ? StatusTooManyRequests : StatusUnavailable;
+    }
+    return failure.reason == ReasonCode::DeadlinePassed ? StatusGatewayTimeout : StatusBadGateway;
+}
+
+} // namespace
+
+EntrySession::EntrySession(std::shared_ptr<EntryCore> core, std::shared_ptr<HttpExchange> exchange, AdmittedCall call)
+    : m_core(std::move(core))
+    , m_exchange(std::move(exchange))
+    , m_call(std::move(call))
+    , m_body(m_exchange->takeBody())
+    , m_executor(m_exchange->executor())
+    , m_timer(m_executor)
+    , m_flow(
+          specOf(m_call),
+          StreamAddress{m_core->self, m_call.work.sequence, 0},
+          limitsOf(m_call),
+          [this](const RouteQuery &query, Instant now) { return choose(query, now); },
+          [this](Instant now) { return m_core->placement.permitRetry(now); },
+          m_call.work.sequence)
+    , m_series(m_core->metrics.series(m_call.organisation, promptClass(m_call.work.promptTokens)))
+    , m_lastEvent(m_call.request.lastEvent)
+{
+    ++m_core->openCalls;
+}
+
+EntrySession::~EntrySession()
+{
+    if (m_attempt.number > 0 && !m_attempt.closed) {
+        m_core->placement.closed(m_call.work,
+                                 m_attempt.number,
+                                 m_attempt.backend,
+                                 action::CloseAttempt::Outcome::Abandoned,
+                                 steadyNow());
+    }
+    --m_core->openCalls;
+}
+
+void EntrySession::start()
+{
+    m_core->placement.callArrived();
+    // The connection keeps the session alive until Close takes this back.
+    m_exchange->onClosed([self = shared_from_this()] { self->feed(event::CallerCancelled{}); });
+    feed(event::Begin{});
+}
+
+void EntrySession::feed(FlowEvent event)
+{
+    m_events.push_back(std::move(event));
+    if (std::exchange(m_feeding, true)) {
+        return;
+    }
+    const auto self = shared_from_this();
+    while (!m_events.empty()) {
+        const auto next = std::move(m_events.front());
+        m_events.pop_front();
+        handle(next);
+    }
+    m_feeding = false;
+}
+
+void EntrySession::handle(const FlowEvent &event)
+{
+    if (m_flow.closed()) {
+        return;
+    }
+    for (auto &action : m_flow.handle(event, steadyNow())) {
+        std::visit([this](auto &carried) { execute(carried); }, action);
+    }
+}
+
+RouteDecision EntrySession::choose(const RouteQuery &query, Instant now)
+{
+    RouteQuery widened = query;
+    widened.avoid.insert(widened.avoid.end(), m_faulty.begin(), m_faulty.end());
+    ChoiceNote note;
+    auto decision = m_core->placement.choose(m_call.work, widened, now, note);
+    if (const auto *route = std::get_if<Route>(&decision)) {
+        logEvent(LogLevel::Info,
+                 "choice",
+                 {{"id", m_call.request.attemptId},
+                  {"attempt", query.attempt},
+                  {"backend", route->members.front().backend},
+                  {"helpers", route->helpers.size()},
+                  {"candidates", note.candidates},
+                  {"excluded", note.excluded},
+                  {"predicted_ms", note.predictedFirst.count() / 1000},
+                  {"loss", note.loss},
+                  {"damage", note.damage},
+                  {"waited_ms", (now - m_call.work.arrival).count() / 1000}});
+    }
+    return decision;
+}
+
+void EntrySession::execute(action::OpenAttempt &action)
+{
+    const auto &backendId = action.route.members.front().backend;
+    const auto now = steadyNow();
+    m_core->placement.opened(m_call.work, action.attempt, action.route, now);
+    if (m_attempts++ == 0) {
+        m_series->recordQueueWait(now - m_call.work.arrival);
+    }
+    m_attempt = Attempt{};
+    m_attempt.number = action.attempt;
+    m_attempt.backend = backendId;
+    m_attempt.chunks = action.resumeFrom;
+    const auto fleet = m_core->fleet.current();
+    const auto found = fleet->backends.find(backendId);
+    if (found == fleet->backends.end()) {
+        m_events.push_back(event::AttemptRefused{action.attempt, RefusalCode::Leaving});
+        return;
+    }
+    wire::BackendCall call;
+    call.expectedId = backendId;
+    call.organisation = m_call.organisation;
+    call.priority = m_call.priority;
+    call.timeLeft = timeLeft();
+    call.lastEvent = m_lastEvent;
+    for (const auto &helper : action.route.helpers) {
+        const auto known = fleet->backends.find(helper.backend);
+        if (known != fleet->backends.end()) {
+            call.helpers.push_back({known->second.address, helper.ticket});
+        }
+    }
+    const auto &request = m_exchange->request();
+    RelayedCall relayed;
+    relayed.address = found->second.address;
+    relayed.method = request.method;
+    relayed.target = request.target;
+    relayed.fields = wire::encodeCall(request.fields, call);
+    relayed.body = m_body;
+    relayed.maximumIdle = m_call.work.repeatable ? KeptConnection : FreshConnection;
+    relayed.belongs = [id = m_call.request.attemptId](const HttpAnswerHead &head) {
+        return wire::decodeAnswer(head).attemptId == id;
+    };
+    m_attempt.stream = std::make_unique<CallStream>(
+        m_core->client.pool(),
+        m_executor,
+        std::move(relayed),
+        [weak = weak_from_this(), attempt = action.attempt](CallEvent event) {
+            if (const auto self = weak.lock()) {
+                self->streamEvent(attempt, std::move(event));
+            }
+        });
+}
+
+void EntrySession::execute(action::CancelAttempt &action)
+{
+    if (m_attempt.stream) {
+        m_attempt.stream->close();
+    }
+    // The connection is gone, so nobody can say any more whether the call ran.
+    m_events.push_back(event::CancelSettled{action.attempt, false, false});
+}
+
+void EntrySession::execute(action::CloseAttempt &action)
+{
+    m_attempt.closed = true;
+    if (m_attempt.stream) {
+        m_attempt.stream->close();
+    }
+    m_core->placement.closed(m_call.work, action.attempt, action.backend, action.outcome, steadyNow());
+}
+
+void EntrySession::execute(action::DeliverChunk &action)
+{
+    const auto now = steadyNow();
+    if (m_delivered++ == 0) {
+        m_firstByteAt = now;
+        m_series->recordFirstToken(now - m_call.work.arrival);
+    } else {
+        m_longestGap = std::max(m_longestGap, Duration(now - m_lastEventAt));
+        m_series->recordTokenGap(now - m_lastEventAt);
+    }
+    m_lastEventAt = now;
+    if (!streaming()) {
+        m_headSent = true;
+        m_exchange->reply({m_attempt.head.status, m_attempt.head.reason, endToEndFields(m_attempt.head.fields)},
+                          std::move(action.text));
+        return;
+    }
+    if (!std::exchange(m_headSent, true)) {
+        m_exchange->beginStream({m_attempt.head.status, m_attempt.head.reason, endToEndFields(m_attempt.head.fields)});
+    }
+    deliver(std::move(action.text));
+}
+
+void EntrySession::deliver(std::string bytes)
+{
+    const auto size = bytes.size();
+    m_unwritten += size;
+    if (m_unwritten > PauseBytes && m_attempt.stream) {
+        m_attempt.stream->pause();
+    }
+    m_exchange->write(std::move(bytes), [weak = weak_from_this(), size](bool ok) {
+        if (const auto self = weak.lock()) {
+            self->written(size, ok);
+        }
+    });
+}
+
+void EntrySession::written(std::size_t bytes, bool ok)
+{
+    m_unwritten -= bytes;
+    if (ok && m_unwritten == 0 && m_attempt.stream && !m_attempt.closed) {
+        m_attempt.stream->resume();
+    }
+}
+
+void EntrySession::execute(action::DeliverEnd & /*action*/)
+{
+    if (streaming()) {
+        if (!std::exchange(m_headSent, true)) {
+            m_exchange->beginStream(
+                {m_attempt.head.status, m_attempt.head.reason, endToEndFields(m_attempt.head.fields)});
+        }
+        m_exchange->endStream();
+    }
+    m_series->countVerdict(Verdict::Ran, std::nullopt);
+    logEnd("answered", {});
+}
+
+void EntrySession::execute(action::DeliverFailure &action)
+{
+    const auto &failure = action.failure;
+    m_series->countVerdict(failure.verdict, failure.reason);
+    if (failure.reason == ReasonCode::Cancelled) {
+        logEnd("cancelled", {});
+        return;
+    }
+    if (m_headSent) {
+        m_exchange->abort();
+        logEnd("cut", failure.detail);
+        return;
+    }
+    if (m_failureHead && failure.verdict != Verdict::NotRun) {
+        m_headSent = true;
+        m_exchange->reply({m_failureHead->status, m_failureHead->reason, endToEndFields(m_failureHead->fields)},
+                          std::move(m_failureBody));
+        logEnd("failed_at_backend", failure.detail);
+        return;
+    }
+    sendFailure(failure);
+}
+
+void EntrySession::sendFailure(const Failure &failure)
+{
+    m_headSent = true;
+    const auto status = statusOf(failure);
+    auto body = std::string(R"({"verdict":")") + std::string(nameOf(failure.verdict)) + R"(","reason":")"
+        + std::string(nameOf(failure.reason)) + "\"}\n";
+    const auto retryAfter = failure.verdict == Verdict::NotRun ? failure.retryAfter : std::nullopt;
+    m_exchange->reply(wire::encodeFailure(status, m_call.request.attemptId, retryAfter), std::move(body));
+    logEnd(nameOf(failure.verdict), std::string(nameOf(failure.reason)) + ": " + failure.detail);
+}
+
+void EntrySession::execute(action::ArmTimer &action)
+{
+    m_timer.expires_at(std::chrono::time_point_cast<std::chrono::steady_clock::duration>(action.at));
+    m_timer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+            self->feed(event::TimerFired{});
+        }
+    });
+}
+
+void EntrySession::execute(action::Close & /*action*/)
+{
+    m_timer.cancel();
+    m_finished = true;
+    m_exchange->onClosed([] {});
+}
+
+void EntrySession::streamEvent(std::uint32_t attempt, CallEvent event)
+{
+    if (attempt != m_attempt.number || m_attempt.closed || m_finished) {
+        return;
+    }
+    std::visit([this](auto &taken) { take(taken); }, event);
+}
+
+void EntrySession::take(callevent::Sending & /*event*/)
+{
+    feed(event::AttemptSending{m_attempt.number});
+}
+
+void EntrySession::take(callevent::Unreachable &event)
+{
+    logEvent(LogLevel::Warning,
+             "unreachable",
+             {{"id", m_call.request.attemptId}, {"backend", m_attempt.backend}, {"detail", event.detail}});
+    feed(event::AttemptRefused{m_attempt.number, RefusalCode::Leaving});
+}
+
+void EntrySession::take(callevent::Head &event)
+{
+    m_attempt.head = std::move(event.head);
+    m_attempt.answer = wire::decodeAnswer(m_attempt.head);
+    const auto &answer = m_attempt.answer;
+    if (answer.notRun || answer.otherIdentity) {
+        refused("status " + std::to_string(m_attempt.head.status));
+        return;
+    }
+    if (answer.attemptId != m_call.request.attemptId) {
+        broken("the answer belongs to another request");
+        return;
+    }
+    if (answer.encoded || (isSuccess(m_attempt.head.status) && !answer.vouched)) {
+        broken("the answer is not the backend server's own");
+    }
+}
+
+void EntrySession::refused(const std::string &detail)
+{
+    logEvent(LogLevel::Info,
+             "refused",
+             {{"id", m_call.request.attemptId},
+              {"backend", m_attempt.backend},
+              {"detail", detail},
+              {"at_fault", m_attempt.answer.serverAtFault}});
+    const auto fleet = m_core->fleet.current();
+    for (const auto &[id, backend] : fleet->backends) {
+        if (!m_attempt.answer.serverAtFault.empty() && backend.address == m_attempt.answer.serverAtFault
+            && id != m_attempt.backend) {
+            m_faulty.push_back(id);
+            m_core->placement.failed(id, steadyNow());
+        }
+    }
+    feed(event::AttemptRefused{m_attempt.number, RefusalCode::Full});
+}
+
+bool EntrySession::streaming() const
+{
+    return m_attempt.answer.events && isSuccess(m_attempt.head.status);
+}
+
+void EntrySession::take(callevent::Piece &event)
+{
+    if (streaming()) {
+        takeEvents(m_attempt.events.feed(event.bytes));
+        return;
+    }
+    m_attempt.body += event.bytes;
+    if (m_attempt.body.size() > MaximumHeldBytes) {
+        broken("the answer is too large");
+    }
+}
+
+void EntrySession::takeEvents(std::vector<StreamEvent> events)
+{
+    for (auto &next : events) {
+        if (m_attempt.closed || m_finished) {
+            return;
+        }
+        if (!std::exchange(m_attempt.answered, true)) {
+            m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
+        }
+        if (next.id && m_lastEvent) {
+            if (*next.id <= *m_lastEvent) {
+                continue;
+            }
+            if (*next.id > *m_lastEvent + 1) {
+                broken("an event is missing");
+                return;
+            }
+        }
+        if (!next.id && m_lastEvent && m_attempts > 1) {
+            broken("events without identity cannot be resumed");
+            return;
+        }
+        m_lastEvent = next.id ? next.id : m_lastEvent;
+        feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(next.bytes)});
+    }
+}
+
+void EntrySession::take(callevent::Drained & /*event*/)
+{
+}
+
+void EntrySession::take(callevent::End & /*event*/)
+{
+    const auto status = m_attempt.head.status;
+    if (streaming()) {
+        if (m_attempt.events.inEvent()) {
+            broken("the stream ended inside an event");
+            return;
+        }
+        feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
+        return;
+    }
+    if (status >= StatusServerError) {
+        m_failureHead = m_attempt.head;
+        m_failureBody = std::move(m_attempt.body);
+        broken("status " + std::to_string(status));
+        return;
+    }
+    m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
+    feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(m_attempt.body)});
+    feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
+}
+
+void EntrySession::take(callevent::Broken &event)
+{
+    broken(event.detail);
+}
+
+void EntrySession::broken(const std::string &detail)
+{
+    logEvent(LogLevel::Warning,
+             "attempt_broken",
+             {{"id", m_call.request.attemptId},
+              {"attempt", m_attempt.number},
+              {"backend", m_attempt.backend},
+              {"delivered", m_delivered},
+              {"detail", detail}});
+    if (m_attempt.stream) {
+        m_attempt.stream->close();
+    }
+    feed(event::AttemptBroken{m_attempt.number});
+}
+
+std::chrono::milliseconds EntrySession::timeLeft() const
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.work.deadline - steadyNow());
+    return std::max(left - AnswerMargin, std::chrono::milliseconds(1));
+}
+
+void EntrySession::logEnd(std::string_view outcome, const std::string &detail)
+{
+    const auto now = steadyNow();
+    const auto first = m_delivered > 0 ? (m_firstByteAt - m_call.work.arrival).count() / 1000 : -1;
+    logEvent(LogLevel::Info,
+             "end",
+             {{"id", m_call.request.attemptId},
+              {"organisation", m_call.organisation},
+              {"route", m_call.route->name},
+              {"version", m_call.fleet->routing->version},
+              {"prompt", m_call.work.promptTokens},
+              {"outcome", outcome},
+              {"detail", detail},
+              {"attempts", m_attempts},
+              {"backend", m_attempt.backend},
+              {"first_ms", first},
+              {"target_ms", m_call.work.target.count() / 1000},
+              {"gap_ms", m_longestGap.count() / 1000},
+              {"gap_aim_ms", m_call.work.eventGap.count() / 1000},
+              {"events", m_delivered},
+              {"total_ms", (now - m_call.work.arrival).count() / 1000}});
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/entrysession.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "entrycore.h"
+#include "eventsplitter.h"
+
+#include "pomeloentry/wire.h"
+
+#include "pomeloport/coordination/requestflow.h"
+#include "pomeloport/transport/callstream.h"
+#include "pomeloport/transport/httpserver.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pomeloentry
+{
+
+/// A call that was admitted: matched with a route, an organisation and a service.
+struct AdmittedCall
+{
+    wire::CallerRequest request;
+    std::shared_ptr<const FleetState> fleet;
+    const CallRoute *route = nullptr;
+    std::string organisation;
+    std::uint32_t priority = 0;
+    CallWork work;
+};
+
+/// One relayed call from admission to its end: carries out the actions of its RequestFlow and feeds it with what
+/// happens. All work runs on the executor of the caller's connection; pending operations keep the session alive.
+class EntrySession : public std::enable_shared_from_this<EntrySession>
+{
+public:
+    EntrySession(std::shared_ptr<EntryCore> core,
+                 std::shared_ptr<pomeloport::HttpExchange> exchange,
+                 AdmittedCall call);
+    ~EntrySession();
+    EntrySession(const EntrySession &) = delete;
+    EntrySession &operator=(const EntrySession &) = delete;
+
+    /// Starts the call. Call once, on the executor.
+    void start();
+
+private:
+    void feed(pomeloport::FlowEvent event);
+    void handle(const pomeloport::FlowEvent &event);
+    pomeloport::RouteDecision choose(const pomeloport::RouteQuery &query, Instant now);
+
+    void execute(pomeloport::action::OpenAttempt &action);
+    void execute(pomeloport::action::CancelAttempt &action);
+    void execute(pomeloport::action::CloseAttempt &action);
+    void execute(pomeloport::action::DeliverChunk &action);
+    void execute(pomeloport::action::DeliverEnd &action);
+    void execute(pomeloport::action::DeliverFailure &action);
+    void execute(pomeloport::action::ArmTimer &action);
+    void execute(pomeloport::action::Close &action);
+    /// Claims, groups and exported segments do not occur in relayed calls.
+    template<typename Action>
+    void execute(Action & /*action*/)
+    {
+    }
+
+    /// What is read of the present attempt.
+    struct Attempt
+    {
+        std::uint32_t number = 0;
+        std::string backend;
+        std::unique_ptr<pomeloport::CallStream> stream;
+        pomeloport::HttpAnswerHead head;
+        wire::BackendAnswer answer;
+        EventSplitter events;
+        std::string body;
+        std::uint64_t chunks = 0;
+        /// Whether its first event or its whole answer has come.
+        bool answered = false;
+        bool closed = false;
+    };
+
+    void streamEvent(std::uint32_t attempt, pomeloport::CallEvent event);
+    void take(pomeloport::callevent::Sending &event);
+    void take(pomeloport::callevent::Unreachable &event);
+    void take(pomeloport::callevent::Head &event);
+    void take(pomeloport::callevent::Piece &event);
+    void take(pomeloport::callevent::Drained &event);
+    void take(pomeloport::callevent::End &event);
+    void take(pomeloport::callevent::Broken &event);
+    void takeEvents(std::vector<StreamEvent> events);
+    void broken(const std::string &detail);
+    void refused(const std::string &detail);
+    bool streaming() const;
+    void deliver(std::string bytes);
+    void written(std::size_t bytes, bool ok);
+    void timerDue();
+    void sendFailure(const pomeloport::Failure &failure);
+    std::chrono::milliseconds timeLeft() const;
+    void logEnd(std::string_view outcome, const std::string &detail);
+
+    std::shared_ptr<EntryCore> m_core;
+    std::shared_ptr<pomeloport::HttpExchange> m_exchange;
+    AdmittedCall m_call;
+    std::string m_body;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_executor;
+    boost::asio::steady_timer m_timer;
+    pomeloport::RequestFlow m_flow;
+    std::shared_ptr<pomelorouter::RequestSeries> m_series;
+    Attempt m_attempt;
+    /// A failure that a backend server answered; told to the caller when nothing better comes.
+    std::optional<pomeloport::HttpAnswerHead> m_failureHead;
+    std::string m_failureBody;
+    std::optional<std::uint64_t> m_lastEvent;
+    std::deque<pomeloport::FlowEvent> m_events;
+    /// Other backend servers that were at fault, such as helpers.
+    std::vector<std::string> m_faulty;
+    std::size_t m_unwritten = 0;
+    std::uint64_t m_delivered = 0;
+    std::uint32_t m_attempts = 0;
+    Instant m_firstByteAt{};
+    Instant m_lastEventAt{};
+    Duration m_longestGap{};
+    bool m_feeding = false;
+    bool m_headSent = false;
+    bool m_finished = false;
+};
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/eventsplitter.cpp
@@ -0,0 +1,67 @@
+#include "eventsplitter.h"
+
+#include <charconv>
+
+namespace pomeloentry
+{
+
+namespace
+{
+
+/// Length of the first event, up to and with its blank line; zero when it is not complete.
+std::size_t eventLength(std::string_view text)
+{
+    const auto plain = text.find("\n\n");
+    const auto carriage = text.find("\r\n\r\n");
+    const std::size_t plainEnd = plain == std::string_view::npos ? std::string_view::npos : plain + 2;
+    const std::size_t carriageEnd = carriage == std::string_view::npos ? std::string_view::npos : carriage + 4;
+    const auto end = std::min(plainEnd, carriageEnd);
+    return end == std::string_view::npos ? 0 : end;
+}
+
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    constexpr std::string_view Field = "id:";
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const auto end = event.find('\n', begin);
+        auto line = event.substr(begin, end - begin);
+        if (line.starts_with(Field)) {
+            line.remove_prefix(Field.size());
+            if (line.starts_with(' ')) {
+                line.remove_prefix(1);
+            }
+            std::uint64_t value = 0;
+            const auto parsed = std::from_chars(line.data(), line.data() + line.size(), value);
+            return parsed.ec == std::errc() ? std::optional(value) : std::nullopt;
+        }
+        if (end == std::string_view::npos) {
+            break;
+        }
+        begin = end + 1;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
+{
+    m_rest += bytes;
+    std::vector<StreamEvent> events;
+    std::string_view rest = m_rest;
+    for (auto length = eventLength(rest); length > 0; length = eventLength(rest)) {
+        const auto event = rest.substr(0, length);
+        events.push_back({std::string(event), idOf(event)});
+        rest.remove_prefix(length);
+    }
+    m_rest.erase(0, m_rest.size() - rest.size());
+    return events;
+}
+
+bool EventSplitter::inEvent() const
+{
+    return !m_rest.empty();
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/fleetdocuments.cpp
@@ -0,0 +1,125 @@
+#include "pomeloentry/fleetdocuments.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pomeloentry
+{
+
+bool FleetDocuments::replace(const std::vector<pomeloport::StoreObject> &objects,
+                             std::uint64_t asOf,
+                             Instant removeAt,
+                             Instant now)
+{
+    if (asOf < m_asOf) {
+        return false;
+    }
+    bool changed = false;
+    std::set<std::string> named;
+    for (const auto &object : objects) {
+        named.insert(object.name);
+        m_removals.erase(object.name);
+        auto &known = m_documents[object.name];
+        if (object.version > known.version) {
+            known = {object.version, object.value};
+            m_changedAt = std::max(m_changedAt, object.version);
+            changed = true;
+        }
+    }
+    std::vector<std::string> gone;
+    for (const auto &[name, document] : m_documents) {
+        if (!named.contains(name)) {
+            gone.push_back(name);
+        }
+    }
+    for (const auto &name : gone) {
+        changed = remove(name, removeAt, now) || changed;
+    }
+    m_asOf = asOf;
+    return changed;
+}
+
+bool FleetDocuments::apply(const std::vector<pomeloport::StoreObject> &changes,
+                           std::uint64_t asOf,
+                           Instant removeAt,
+                           Instant now)
+{
+    bool changed = false;
+    for (const auto &object : changes) {
+        const auto known = m_documents.find(object.name);
+        if (object.removed) {
+            if (known != m_documents.end() && object.version >= known->second.version) {
+                m_changedAt = std::max(m_changedAt, asOf);
+                changed = remove(object.name, removeAt, now) || changed;
+            }
+            continue;
+        }
+        if (known != m_documents.end() && known->second.version >= object.version) {
+            continue;
+        }
+        m_removals.erase(object.name);
+        m_documents[object.name] = {object.version, object.value};
+        m_changedAt = std::max(m_changedAt, object.version);
+        changed = true;
+    }
+    m_asOf = std::max(m_asOf, asOf);
+    return changed;
+}
+
+bool FleetDocuments::adopt(const DocumentCopy &copy)
+{
+    if (copy.asOf <= m_asOf || copy.changedAt <= m_changedAt) {
+        return false;
+    }
+    m_documents = copy.documents;
+    m_removals.clear();
+    m_asOf = copy.asOf;
+    m_changedAt = copy.changedAt;
+    return true;
+}
+
+bool FleetDocuments::removeDue(Instant now)
+{
+    bool changed = false;
+    for (auto entry = m_removals.begin(); entry != m_removals.end();) {
+        if (entry->second > now) {
+            ++entry;
+            continue;
+        }
+        changed = m_documents.erase(entry->first) > 0 || changed;
+        entry = m_removals.erase(entry);
+    }
+    return changed;
+}
+
+bool FleetDocuments::remove(const std::string &name, Instant removeAt, Instant now)
+{
+    if (removeAt <= now) {
+        m_removals.erase(name);
+        return m_documents.erase(name) > 0;
+    }
+    m_removals.try_emplace(name, removeAt);
+    return false;
+}
+
+DocumentCopy FleetDocuments::copy() const
+{
+    return {m_asOf, m_changedAt, m_documents};
+}
+
+const std::map<std::string, StoredDocument> &FleetDocuments::documents() const
+{
+    return m_documents;
+}
+
+std::uint64_t FleetDocuments::asOf() const
+{
+    return m_asOf;
+}
+
+std::uint64_t FleetDocuments::changedAt() const
+{
+    return m_changedAt;
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/peermesh.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "entrycore.h"
+
+#include "pomeloentry/peertable.h"
+
+#include "pomeloport/transport/datagramsocket.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pomeloentry
+{
+
+/// Tells the other instances about this one's work, state and knowledge, and hears theirs. Members are safe from any
+/// thread.
+class PeerMesh : public std::enable_shared_from_this<PeerMesh>
+{
+public:
+    /// Returns null, with a last reason, when the address cannot be bound.
+    static std::shared_ptr<PeerMesh> start(std::shared_ptr<EntryCore> core);
+
+    /// Learns the datagram address of another instance.
+    void learn(const std::string &address);
+
+    /// Sets what this instance says of its own knowledge, and whether it has a configuration.
+    void setKnown(const KnownChanges &known, bool configured);
+
+    /// Tells everybody at once, such as that this instance leaves.
+    void announce();
+
+    /// Addresses for callers: all instances that are ready, this one included.
+    std::vector<std::string> callerAddresses() const;
+
+    /// Live peers.
+    std::vector<PeerView> live() const;
+
+    EntryState state() const;
+
+    void stop();
+
+private:
+    explicit PeerMesh(std::shared_ptr<EntryCore> core);
+    void received(const pomeloport::OwnerId &sender, const std::string &address, const std::string &payload);
+    void armHeartbeat();
+    void armChanges();
+    void sendChanges();
+    void sendWhole();
+    void send(WorkReport report, bool toAll);
+    PeerMessage message();
+
+    std::shared_ptr<EntryCore> m_core;
+    std::shared_ptr<pomeloport::DatagramSocket> m_socket;
+    boost::asio::steady_timer m_heartbeat;
+    boost::asio::steady_timer m_changes;
+    mutable std::mutex m_mutex;
+    PeerTable m_peers;
+    KnownChanges m_known;
+    bool m_configured = false;
+    bool m_stopped = false;
+};
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/peertable.cpp
@@ -0,0 +1,88 @@
+#include "pomeloentry/peertable.h"
+
+#include <algorithm>
+
+namespace pomeloentry
+{
+
+PeerTable::PeerTable(std::string ownAddress)
+    : m_own(std::move(ownAddress))
+{
+}
+
+void PeerTable::learn(const std::string &address, Instant now)
+{
+    if (address != m_own && !address.empty()) {
+        m_addresses.try_emplace(address, now);
+    }
+}
+
+bool PeerTable::take(const pomeloport::OwnerId &sender,
+                     const std::string &address,
+                     const PeerMessage &message,
+                     Instant now)
+{
+    if (address == m_own) {
+        return false;
+    }
+    auto &peer = m_peers[sender.instance];
+    if (sender.incarnation < peer.incarnation) {
+        return false;
+    }
+    const bool changed = sender.incarnation != peer.incarnation || message.state != peer.state;
+    peer = {sender.incarnation,
+            address,
+            message.callerAddress,
+            message.failureDomain,
+            message.state,
+            message.known,
+            now};
+    m_addresses[address] = now;
+    for (const auto &other : message.others) {
+        learn(other, now);
+    }
+    return changed;
+}
+
+void PeerTable::expire(Instant now)
+{
+    std::erase_if(m_addresses, [now](const auto &entry) { return now - entry.second > AddressLifetime; });
+    std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.heardAt > AddressLifetime; });
+}
+
+std::vector<std::string> PeerTable::addresses() const
+{
+    std::vector<std::string> result;
+    for (const auto &[address, since] : m_addresses) {
+        result.push_back(address);
+    }
+    return result;
+}
+
+std::vector<std::string> PeerTable::someAddresses(std::size_t count)
+{
+    const auto all = addresses();
+    std::vector<std::string> result;
+    for (std::size_t i = 0; i < std::min(count, all.size()); ++i) {
+        result.push_back(all[m_turn++ % all.size()]);
+    }
+    return result;
+}
+
+std::vector<PeerView> PeerTable::live(Instant now) const
+{
+    std::vector<PeerView> result;
+    for (const auto &[name, peer] : m_peers) {
+        if (now - peer.heardAt <= CallerSilence) {
+            result.push_back(peer);
+        }
+    }
+    return result;
+}
+
+const std::map<std::string, PeerView> &PeerTable::all() const
+{
+    return m_peers;
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/workledger.cpp
@@ -0,0 +1,191 @@
+#include "pomeloentry/workledger.h"
+
+#include <algorithm>
+
+namespace pomeloentry
+{
+
+namespace
+{
+
+/// Items in one report, so that it fits a datagram.
+constexpr std::size_t ItemsPerPiece = 16;
+
+template<typename Number>
+Number milliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    const auto least = static_cast<std::int64_t>(std::numeric_limits<Number>::min());
+    const auto most = static_cast<std::int64_t>(std::numeric_limits<Number>::max());
+    return static_cast<Number>(std::clamp<std::int64_t>(count, least, most));
+}
+
+WorkNotice notice(const WorkItem &item, Instant now)
+{
+    WorkNotice result;
+    result.key = item.key;
+    result.writing = item.writing;
+    result.ageMs = milliseconds<std::uint32_t>(now - item.startedAt);
+    result.writingAgeMs = item.writing ? milliseconds<std::uint32_t>(now - item.writingSince) : 0;
+    result.dueInMs = milliseconds<std::int32_t>(item.due - now);
+    result.gapMs = milliseconds<std::uint16_t>(item.eventGap);
+    result.events = item.events;
+    result.worth = item.worth;
+    result.parts = item.parts;
+    return result;
+}
+
+WorkItem itemOf(const WorkNotice &notice, Instant now)
+{
+    WorkItem item;
+    item.key = notice.key;
+    item.writing = notice.writing;
+    item.startedAt = now - std::chrono::milliseconds(notice.ageMs);
+    item.writingSince = now - std::chrono::milliseconds(notice.writingAgeMs);
+    item.due = now + std::chrono::milliseconds(notice.dueInMs);
+    item.eventGap = std::chrono::milliseconds(notice.gapMs);
+    item.events = notice.events;
+    item.worth = notice.worth;
+    item.parts = notice.parts;
+    return item;
+}
+
+} // namespace
+
+void WorkLedger::open(WorkItem item)
+{
+    m_indexed = false;
+    m_changed.push_back(item.key);
+    const auto key = item.key;
+    m_own[key] = std::move(item);
+}
+
+void WorkLedger::firstEvent(std::uint64_t key, Instant now)
+{
+    const auto found = m_own.find(key);
+    if (found == m_own.end() || found->second.writing) {
+        return;
+    }
+    m_indexed = false;
+    found->second.writing = true;
+    found->second.writingSince = now;
+    m_changed.push_back(key);
+}
+
+void WorkLedger::close(std::uint64_t key)
+{
+    if (m_own.erase(key) > 0) {
+        m_indexed = false;
+        m_ended.push_back(key);
+    }
+}
+
+const std::map<std::uint64_t, WorkItem> &WorkLedger::own() const
+{
+    return m_own;
+}
+
+void WorkLedger::take(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now)
+{
+    auto &known = m_others[sender.instance];
+    if (sender.incarnation < known.incarnation) {
+        return;
+    }
+    if (sender.incarnation > known.incarnation) {
+        known = Sender{};
+        known.incarnation = sender.incarnation;
+    }
+    m_indexed = false;
+    known.heardAt = now;
+    for (const auto &told : report.items) {
+        known.items[told.key] = itemOf(told, now);
+        known.epochs[told.key] = report.epoch;
+    }
+    for (const auto key : report.ended) {
+        known.items.erase(key);
+        known.epochs.erase(key);
+    }
+    if (report.whole && report.lastPiece) {
+        std::erase_if(known.items, [&known, &report](const auto &entry) {
+            return known.epochs[entry.first] < report.epoch;
+        });
+        std::erase_if(known.epochs, [&known](const auto &entry) { return !known.items.contains(entry.first); });
+    }
+}
+
+void WorkLedger::expire(Instant now)
+{
+    const auto erased = std::erase_if(m_others, [now](const auto &entry) {
+        return now - entry.second.heardAt > Expiry;
+    });
+    m_indexed = m_indexed && erased == 0;
+}
+
+const WorkLedger::ByBackend &WorkLedger::byBackend() const
+{
+    if (m_indexed) {
+        return m_index;
+    }
+    for (auto &[backend, placed] : m_index) {
+        placed.clear();
+    }
+    const auto add = [this](const std::map<std::uint64_t, WorkItem> &items) {
+        for (const auto &[key, item] : items) {
+            for (std::size_t part = 0; part < item.parts.size(); ++part) {
+                m_index[item.parts[part].backend].push_back({&item, part});
+            }
+        }
+    };
+    add(m_own);
+    for (const auto &[name, sender] : m_others) {
+        add(sender.items);
+    }
+    std::erase_if(m_index, [](const auto &entry) { return entry.second.empty(); });
+    m_indexed = true;
+    return m_index;
+}
+
+WorkReport WorkLedger::takeChanges(Instant now)
+{
+    WorkReport report;
+    report.epoch = m_epoch;
+    std::ranges::sort(m_changed);
+    m_changed.erase(std::unique(m_changed.begin(), m_changed.end()), m_changed.end());
+    for (const auto key : m_changed) {
+        const auto found = m_own.find(key);
+        if (found != m_own.end() && report.items.size() < ItemsPerPiece) {
+            report.items.push_back(notice(found->second, now));
+        }
+    }
+    report.ended = std::move(m_ended);
+    m_changed.clear();
+    m_ended.clear();
+    return report;
+}
+
+std::vector<WorkReport> WorkLedger::wholeList(Instant now)
+{
+    ++m_epoch;
+    m_changed.clear();
+    m_ended.clear();
+    std::vector<WorkReport> pieces(1);
+    for (const auto &[key, item] : m_own) {
+        if (pieces.back().items.size() == ItemsPerPiece) {
+            pieces.emplace_back();
+        }
+        pieces.back().items.push_back(notice(item, now));
+    }
+    for (auto &piece : pieces) {
+        piece.whole = true;
+        piece.epoch = m_epoch;
+    }
+    pieces.back().lastPiece = true;
+    return pieces;
+}
+
+bool WorkLedger::hasChanges() const
+{
+    return !m_changed.empty() || !m_ended.empty();
+}
+
+} // namespace pomeloentry
--- a/src/libpomeloport/coordination/answerassembler.cpp
+++ b/src/libpomeloport/coordination/answerassembler.cpp
@@ -52,7 +52,7 @@
     ++m_next;
 }
 
-void AnswerAssembler::end(std::uint64_t count, std::uint64_t digest)
+void AnswerAssembler::end(std::uint64_t count, std::optional<std::uint64_t> digest)
 {
     m_end = EndMarker{count, digest};
 }
@@ -71,7 +71,7 @@
     if (m_next < m_end->count) {
         return State::Incomplete;
     }
-    const bool matching = m_next == m_end->count && m_end->digest == digest();
+    const bool matching = m_next == m_end->count && m_end->digest.value_or(digest()) == digest();
     return matching ? State::Whole : State::Corrupt;
 }
 
--- a/src/libpomeloport/coordination/answerassembler.h
+++ b/src/libpomeloport/coordination/answerassembler.h
@@ -34,7 +34,7 @@
     void take(std::uint64_t index, std::string text, const Deliver &deliver);
 
     /// Takes the end marker of the present attempt.
-    void end(std::uint64_t count, std::uint64_t digest);
+    void end(std::uint64_t count, std::optional<std::uint64_t> digest);
 
     /// Forgets chunks and end marker of an attempt that is over; what was delivered stays.
     void startAttempt();
@@ -61,7 +61,7 @@
     struct EndMarker
     {
         std::uint64_t count = 0;
-        std::uint64_t digest = 0;
+        std::optional<std::uint64_t> digest;
     };
 
     bool m_keepText = false;
--- a/src/libpomeloport/coordination/claims.cpp
+++ b/src/libpomeloport/coordination/claims.cpp
@@ -143,6 +143,7 @@
         retryLater();
         return;
     case StoreStatus::Unavailable:
+    case StoreStatus::HistoryGone:
         if (write) {
             m_openWrite = OpenWrite{call.operation, call.ifVersion};
         }
--- a/src/libpomeloport/coordination/configapply.cpp
+++ b/src/libpomeloport/coordination/configapply.cpp
@@ -87,6 +87,7 @@
     case StoreStatus::Rejected:
         return tryAgain(now);
     case StoreStatus::Unavailable:
+    case StoreStatus::HistoryGone:
         m_writeOpen = true;
         return tryAgain(now);
     }
--- a/src/libpomeloport/coordination/flowattempts.cpp
+++ b/src/libpomeloport/coordination/flowattempts.cpp
@@ -23,6 +23,7 @@
 void FlowContext::attemptSending()
 {
     m_sent = true;
+    m_sentAt = m_now;
 }
 
 void FlowContext::attemptRefused(const event::AttemptRefused &refused)
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -80,7 +80,7 @@
         giveUp(ReasonCode::DeadlinePassed, "the deadline passed");
         return;
     }
-    if (!m_spec.nonIdempotent) {
+    if (!m_spec.nonIdempotent || !m_limits.claims) {
         choose();
         return;
     }
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -117,6 +117,7 @@
     void cancelMember();
     Duration retryDelay();
     Instant settleTime() const;
+    std::optional<Instant> stallTime() const;
     const std::string &currentBackend() const;
 
     RequestSpec m_spec;
@@ -131,6 +132,7 @@
     std::optional<Instant> m_armed;
     Instant m_wakeAt{};
     Instant m_stallAt{};
+    Instant m_sentAt{};
     Instant m_cancelLimit{};
     bool m_backingOff = false;
 
--- a/src/libpomeloport/coordination/flowtimers.cpp
+++ b/src/libpomeloport/coordination/flowtimers.cpp
@@ -33,8 +33,8 @@
     if (m_phase == FlowPhase::Waiting) {
         consider(m_wakeAt);
     }
-    if (m_phase == FlowPhase::Attempting && m_chunkSeen) {
-        consider(m_stallAt);
+    if (const auto stall = stallTime()) {
+        consider(*stall);
     }
     if (m_phase == FlowPhase::Cancelling) {
         consider(m_cancelLimit);
@@ -74,7 +74,23 @@
 
 bool FlowContext::stallDue() const
 {
-    return m_phase == FlowPhase::Attempting && m_chunkSeen && m_now >= m_stallAt;
+    const auto at = stallTime();
+    return at && m_now >= *at;
+}
+
+std::optional<Instant> FlowContext::stallTime() const
+{
+    if (m_phase != FlowPhase::Attempting) {
+        return std::nullopt;
+    }
+    if (m_chunkSeen) {
+        return m_stallAt;
+    }
+    const Duration patience = m_routes.back().patience;
+    if (!m_sent || m_spec.nonIdempotent || patience == Duration::zero()) {
+        return std::nullopt;
+    }
+    return m_sentAt + patience;
 }
 
 bool FlowContext::cancelLimitDue() const
--- a/src/libpomeloport/coordination/leases.cpp
+++ b/src/libpomeloport/coordination/leases.cpp
@@ -254,6 +254,7 @@
     case StoreStatus::Rejected:
         return;
     case StoreStatus::Unavailable:
+    case StoreStatus::HistoryGone:
         m_ownVersion.reset();
         return;
     }
@@ -328,6 +329,7 @@
         return;
     case StoreStatus::Rejected:
     case StoreStatus::Unavailable:
+    case StoreStatus::HistoryGone:
         return;
     }
 }
--- a/src/libpomeloport/transport/connectionpool.cpp
+++ b/src/libpomeloport/transport/connectionpool.cpp
@@ -35,30 +35,40 @@
     return m_context;
 }
 
-std::unique_ptr<ConnectionPool::Socket> ConnectionPool::take(const std::string &address)
+std::unique_ptr<ConnectionPool::Socket> ConnectionPool::take(const std::string &address,
+                                                             std::chrono::milliseconds maximumIdle)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_idle.find(address);
     if (found == m_idle.end()) {
         return nullptr;
     }
-    auto &sockets = found->second;
-    while (!sockets.empty()) {
-        auto socket = std::move(sockets.back());
-        sockets.pop_back();
-        if (looksOpen(*socket)) {
-            return socket;
+    auto &idle = found->second;
+    const auto now = Clock::now();
+    while (!idle.empty()) {
+        // The last one became idle last: when it waited too long, so did the others.
+        if (now - idle.back().since > maximumIdle) {
+            return nullptr;
+        }
+        auto entry = std::move(idle.back());
+        idle.pop_back();
+        if (now < entry.until && looksOpen(*entry.socket)) {
+            return std::move(entry.socket);
         }
     }
     return nullptr;
 }
 
-void ConnectionPool::give(const std::string &address, std::unique_ptr<Socket> socket)
+void ConnectionPool::give(const std::string &address,
+                          std::unique_ptr<Socket> socket,
+                          std::chrono::milliseconds keptFor)
 {
     const std::lock_guard lock(m_mutex);
-    auto &sockets = m_idle[address];
-    if (sockets.size() < IdleConnectionsPerAddress) {
-        sockets.push_back(std::move(socket));
+    auto &idle = m_idle[address];
+    const auto now = Clock::now();
+    std::erase_if(idle, [now](const Idle &entry) { return entry.until <= now; });
+    if (idle.size() < IdleConnectionsPerAddress) {
+        idle.push_back({std::move(socket), now, now + keptFor});
     }
 }
 
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "addresses.h"
 #include "connectionpool.h"
+#include "socketoptions.h"
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
@@ -92,7 +93,7 @@
             finish(std::nullopt);
             return;
         }
-        m_socket->set_option(tcp::no_delay(true), error);
+        detail::configureConnection(*m_socket);
         write();
     }
 
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -1,6 +1,7 @@
 #include "httpconnection.h"
 
 #include "addresses.h"
+#include "socketoptions.h"
 #include "targets.h"
 
 #include "pomeloport/verdict.h"
@@ -40,12 +41,12 @@
     : m_socket(std::move(socket))
     , m_state(std::move(state))
     , m_timer(m_socket.get_executor())
-    , m_buffer(m_state->limits.headerBytes + m_state->limits.bodyBytes)
+    , m_buffer(m_state->limits.current()->headerBytes + m_state->limits.current()->bodyBytes)
 {
     Error error;
     const auto endpoint = m_socket.remote_endpoint(error);
     m_remote = error ? "unknown" : formatEndpoint(endpoint);
-    m_socket.set_option(asio::ip::tcp::no_delay(true), error);
+    configureConnection(m_socket);
     ++m_state->connections;
 }
 
@@ -110,7 +111,7 @@
 
 void HttpConnection::waitReadable()
 {
-    armTimer(m_state->limits.idleTimeout, false);
+    armTimer(m_state->limits.current()->idleTimeout, false);
     m_socket.async_wait(Socket::wait_read, [self = shared_from_this()](Error error) {
         if (!error && self->m_phase == Phase::Reading) {
             self->readHeader();
@@ -121,9 +122,9 @@
 void HttpConnection::readHeader()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.headerBytes));
-    m_parser->body_limit(m_state->limits.bodyBytes);
-    armTimer(m_state->limits.headerTimeout, true);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.current()->headerBytes));
+    m_parser->body_limit(m_state->limits.current()->bodyBytes);
+    armTimer(m_state->limits.current()->headerTimeout, true);
     http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Error error, std::size_t) {
         self->headerRead(error);
     });
@@ -138,7 +139,11 @@
         refuseError(error);
         return;
     }
-    armTimer(m_state->limits.idleTimeout, true);
+    if (!framingIsClear()) {
+        refuse(static_cast<unsigned>(http::status::bad_request), "the length of the body is ambiguous");
+        return;
+    }
+    armTimer(m_state->limits.current()->idleTimeout, true);
     if (m_parser->get()[http::field::expect] == "100-continue") {
         sendContinue();
         return;
@@ -146,6 +151,25 @@
     readBody();
 }
 
+/// Whether every party on the way agrees where this request ends, and to whom it goes (RFC 9112, sections 3.2 and 6).
+bool HttpConnection::framingIsClear() const
+{
+    const auto &message = m_parser->get();
+    std::size_t lengths = 0;
+    std::size_t encodings = 0;
+    std::size_t hosts = 0;
+    for (const auto &field : message) {
+        lengths += field.name() == http::field::content_length ? 1 : 0;
+        encodings += field.name() == http::field::transfer_encoding ? 1 : 0;
+        hosts += field.name() == http::field::host ? 1 : 0;
+    }
+    if (lengths + encodings > 1 || hosts > 1) {
+        return false;
+    }
+    const auto encoding = message[http::field::transfer_encoding];
+    return encodings == 0 || boost::beast::iequals(encoding, "chunked");
+}
+
 void HttpConnection::sendContinue()
 {
     static constexpr std::string_view Continue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -208,6 +232,7 @@
         std::string name(field.name_string());
         std::ranges::transform(name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
         request.headers[std::move(name)] = std::string(field.value());
+        request.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
     request.body = std::move(message.body());
     return request;
@@ -264,7 +289,7 @@
     m_keepAlive = m_keepAlive && m_state->keepAlive;
     response->keep_alive(m_keepAlive);
     response->prepare_payload();
-    armTimer(m_state->limits.idleTimeout, false);
+    armTimer(m_state->limits.current()->idleTimeout, false);
     auto &message = *response;
     http::async_write(
         m_socket, message, [self = shared_from_this(), response = std::move(response)](Error error, std::size_t) {
--- a/src/libpomeloport/transport/httpconnection.h
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloport/state/published.h"
 #include "pomeloport/transport/httpserver.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,7 +22,7 @@
 /// What all connections of a server share.
 struct HttpServerState
 {
-    HttpLimits limits;
+    Published<HttpLimits> limits{std::make_shared<const HttpLimits>()};
     HttpHandler handler;
     std::atomic<std::size_t> connections{0};
     /// Connections with a request that is not answered to the last byte.
@@ -53,6 +54,8 @@
     /// Implementations of the exchange's methods, on the strand.
     void reply(unsigned status, std::string contentType, std::string body, const HeaderList &headers);
     void beginStream(unsigned status, std::string contentType, const HeaderList &headers);
+    void reply(const HttpAnswerHead &head, std::string body);
+    void beginStream(const HttpAnswerHead &head);
     void write(std::string piece, Written written);
     void endStream();
     void close();
@@ -75,6 +78,7 @@
     void readHeader();
     void headerRead(Error error);
     void sendContinue();
+    bool framingIsClear() const;
     void readBody();
     void bodyRead(Error error);
     void dispatchRequest();
@@ -84,6 +88,7 @@
     void sendWhole(std::shared_ptr<WholeResponse> response);
     void linger();
     void discard();
+    void beginHead(const HttpAnswerHead &head);
     void setBusy(bool busy);
     void watchPeer();
     void peerReadable(Error error);
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -35,7 +35,7 @@
         , m_retry(m_strand)
         , m_state(std::make_shared<HttpServerState>())
     {
-        m_state->limits = limits;
+        m_state->limits.publish(std::make_shared<const HttpLimits>(limits));
         m_state->handler = std::move(handler);
     }
 
@@ -185,6 +185,20 @@
          headers = std::move(headers)]() mutable { connection->beginStream(status, std::move(contentType), headers); });
 }
 
+void HttpExchange::reply(HttpAnswerHead head, std::string body)
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection, head = std::move(head), body = std::move(body)]() mutable {
+                       connection->reply(head, std::move(body));
+                   });
+}
+
+void HttpExchange::beginStream(HttpAnswerHead head)
+{
+    asio::dispatch(m_connection->strand(),
+                   [connection = m_connection, head = std::move(head)] { connection->beginStream(head); });
+}
+
 void HttpExchange::write(std::string piece, std::function<void(bool)> written)
 {
     if (m_connection->strand().running_in_this_thread()) {
@@ -252,6 +266,11 @@
     return m_acceptor->state().busy;
 }
 
+void HttpServer::setLimits(HttpLimits limits)
+{
+    m_acceptor->state().limits.publish(std::make_shared<const HttpLimits>(limits));
+}
+
 void HttpServer::closeAfterReply()
 {
     m_acceptor->state().keepAlive = false;
--- a/src/libpomeloport/transport/httpstream.cpp
+++ b/src/libpomeloport/transport/httpstream.cpp
@@ -46,6 +46,49 @@
     flush();
 }
 
+void HttpConnection::beginHead(const HttpAnswerHead &head)
+{
+    m_phase = Phase::Streaming;
+    m_keepAlive = m_keepAlive && m_state->keepAlive;
+    m_pending += "HTTP/1.1 " + std::to_string(head.status) + " ";
+    if (head.reason.empty()) {
+        m_pending += http::obsolete_reason(static_cast<http::status>(head.status));
+    }
+    m_pending += head.reason + "\r\n";
+    appendFields(m_pending, head.fields);
+    if (!m_keepAlive) {
+        m_pending += "Connection: close\r\n";
+    }
+}
+
+void HttpConnection::reply(const HttpAnswerHead &head, std::string body)
+{
+    if (m_phase != Phase::Handling) {
+        return;
+    }
+    beginHead(head);
+    constexpr unsigned NoContent = 204;
+    constexpr unsigned NotModified = 304;
+    if (head.status != NoContent && head.status != NotModified) {
+        m_pending += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    }
+    m_pending += "\r\n";
+    m_pending += body;
+    m_ended = true;
+    armTimer(m_state->limits.current()->idleTimeout, false);
+    flush();
+}
+
+void HttpConnection::beginStream(const HttpAnswerHead &head)
+{
+    if (m_phase != Phase::Handling) {
+        return;
+    }
+    beginHead(head);
+    m_pending += "Transfer-Encoding: chunked\r\n\r\n";
+    flush();
+}
+
 void HttpConnection::write(std::string piece, Written written)
 {
     if (m_phase != Phase::Streaming || m_ended) {
@@ -67,7 +110,7 @@
         return;
     }
     m_ended = true;
-    armTimer(m_state->limits.idleTimeout, false);
+    armTimer(m_state->limits.current()->idleTimeout, false);
     m_pending += LastChunk;
     flush();
 }
--- a/src/libpomeloport/transport/platformclient.cpp
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -198,19 +198,31 @@
 }
 
 PlatformClient::PlatformClient(boost::asio::io_context &context, std::string address, std::chrono::milliseconds timeout)
+    : PlatformClient(context, std::move(address), timeout, {platformRequest, platformReply})
+{
+}
+
+PlatformClient::PlatformClient(boost::asio::io_context &context,
+                               std::string address,
+                               std::chrono::milliseconds timeout,
+                               StoreCodec codec)
     : m_address(std::move(address))
     , m_timeout(timeout)
+    , m_codec(std::move(codec))
     , m_client(std::make_shared<HttpClient>(context))
 {
 }
 
 void PlatformClient::call(const StoreCall &call, std::function<void(StoreReply)> callback)
 {
-    auto request = platformRequest(call);
+    auto request = m_codec.request(call);
     request.address = m_address;
-    request.timeout = call.operation == StoreOperation::Watch ? WatchTime + WatchGrace : m_timeout;
-    m_client->send(std::move(request), [call, callback = std::move(callback)](auto reply, bool sent) {
-        callback(platformReply(call, reply, sent));
+    request.timeout = m_timeout;
+    if (call.operation == StoreOperation::Watch) {
+        request.timeout = call.wait.count() > 0 ? call.wait + m_timeout : WatchTime + WatchGrace;
+    }
+    m_client->send(std::move(request), [call, codec = m_codec, callback = std::move(callback)](auto reply, bool sent) {
+        callback(codec.reply(call, reply, sent));
     });
 }
 
--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -14,20 +14,27 @@
 
 unsigned ReplyParser::status() const
 {
-    return m_status;
+    return m_head.status;
+}
+
+const HttpAnswerHead &ReplyParser::head() const
+{
+    return m_head;
 }
 
 void ReplyParser::on_request_impl(boost::beast::http::verb, Text, Text, int, Error &)
 {
 }
 
-void ReplyParser::on_response_impl(int code, Text, int, Error &)
+void ReplyParser::on_response_impl(int code, Text reason, int, Error &)
 {
-    m_status = static_cast<unsigned>(code);
+    m_head.status = static_cast<unsigned>(code);
+    m_head.reason = std::string(reason);
 }
 
-void ReplyParser::on_field_impl(boost::beast::http::field, Text, Text, Error &)
+void ReplyParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &)
 {
+    m_head.fields.emplace_back(std::string(name), std::string(value));
 }
 
 void ReplyParser::on_header_impl(Error &)
--- a/src/libpomeloport/transport/replyparser.h
+++ b/src/libpomeloport/transport/replyparser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pomeloport/transport/httpmessage.h"
+
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <functional>
@@ -21,6 +23,9 @@
     /// The status code; 0 before the status line.
     unsigned status() const;
 
+    /// Status line and header fields; complete once is_header_done().
+    const HttpAnswerHead &head() const;
+
 private:
     using Error = boost::beast::error_code;
     using Text = boost::beast::string_view;
@@ -36,7 +41,7 @@
     void on_finish_impl(Error &error) override;
 
     Sink m_sink;
-    unsigned m_status = 0;
+    HttpAnswerHead m_head;
 };
 
 } // namespace pomeloport::detail
--- /dev/null
+++ b/src/pomeloentry/main.cpp
@@ -0,0 +1,152 @@
+#include "pomeloentry/entry.h"
+#include "pomeloentry/wire.h"
+
+#include "pomeloport/daemonoptions.h"
+#include "pomeloport/lastreason.h"
+#include "pomeloport/logging.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+/// The program pomelo-entry: one whole entry instance on the users' platform.
+namespace
+{
+
+using pomeloport::DaemonFailed;
+using pomeloport::DaemonStopped;
+using pomeloport::DaemonUsageError;
+using pomeloport::logEvent;
+using pomeloport::LogLevel;
+
+/// Names the settings file where no command line does.
+constexpr const char *SettingsVariable = "POMELOPORT_BOOT";
+
+constexpr pomeloport::DaemonDescription Description{
+    "pomelo-entry",
+    "Relays callers' requests to backend servers of the users' platform, answers where to connect, and keeps\n"
+    "the fleet's state from the platform's store. SIGTERM starts a drain: other instances take the callers,\n"
+    "requests under way are served, and the program exits 0. SIGHUP reads the settings again. Without\n"
+    "--settings the file is the one that POMELOPORT_BOOT names.\n",
+    "0 drained or checked, 1 cannot run, 2 wrong usage or settings"};
+
+/// Reads the settings; prints every error.
+std::optional<pomeloentry::EntrySettings> load(const std::string &fileName)
+{
+    pomeloport::SettingsErrors errors;
+    auto settings = pomeloentry::wire::loadSettings(fileName, errors);
+    for (const auto &message : errors.messages()) {
+        std::cerr << message << '\n';
+    }
+    return settings;
+}
+
+/// Leaves at the first SIGTERM or SIGINT, stops at the second, and reads the settings again at SIGHUP.
+class SignalHandling
+{
+public:
+    SignalHandling(boost::asio::io_context &context, pomeloentry::Entry &entry, std::string settingsFile)
+        : m_context(context)
+        , m_entry(entry)
+        , m_settingsFile(std::move(settingsFile))
+        , m_signals(context, SIGTERM, SIGINT, SIGHUP)
+    {
+        wait();
+    }
+
+private:
+    void wait()
+    {
+        m_signals.async_wait([this](boost::system::error_code error, int signal) {
+            if (!error) {
+                received(signal);
+                wait();
+            }
+        });
+    }
+
+    void received(int signal)
+    {
+        if (signal == SIGHUP) {
+            // Addresses and identity hold for the life of a process; a file that changes them needs a restart.
+            const bool readable = load(m_settingsFile).has_value();
+            logEvent(readable ? LogLevel::Info : LogLevel::Error, "reload", {{"readable", readable}});
+            return;
+        }
+        logEvent(LogLevel::Info, "stop", {{"signal", signal}, {"open_calls", m_entry.openCalls()}});
+        if (std::exchange(m_leaving, true)) {
+            m_context.stop();
+            return;
+        }
+        m_entry.leave([this] { m_context.stop(); });
+    }
+
+    boost::asio::io_context &m_context;
+    pomeloentry::Entry &m_entry;
+    std::string m_settingsFile;
+    bool m_leaving = false;
+    boost::asio::signal_set m_signals;
+};
+
+int run(const pomeloentry::EntrySettings &settings, const std::string &settingsFile)
+{
+    boost::asio::io_context context(static_cast<int>(settings.threads));
+    const auto entry = pomeloentry::Entry::start(context, settings, pomeloport::incarnationNow());
+    if (!entry) {
+        std::cerr << "pomelo-entry: " << pomeloport::lastReason() << '\n';
+        return DaemonFailed;
+    }
+    const SignalHandling signals(context, *entry, settingsFile);
+    logEvent(LogLevel::Info,
+             "started",
+             {{"instance", settings.instance},
+              {"address", settings.callerAddress},
+              {"store", settings.storeAddress},
+              {"threads", settings.threads}});
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 1; i < settings.threads; ++i) {
+        threads.emplace_back([&context] { context.run(); });
+    }
+    context.run();
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    logEvent(LogLevel::Info, "stopped", {{"open_calls", entry->openCalls()}});
+    return DaemonStopped;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::string settingsFile;
+    if (const char *named = std::getenv(SettingsVariable); named && argc == 1) {
+        settingsFile = named;
+    } else {
+        int exitCode = DaemonStopped;
+        const auto options = pomeloport::parseDaemonOptions(argc, argv, Description, exitCode);
+        if (!options) {
+            return exitCode;
+        }
+        settingsFile = options->settingsFile;
+        if (options->check) {
+            const bool usable = load(settingsFile).has_value();
+            std::cout << settingsFile << (usable ? ": ok\n" : ": not usable\n");
+            return usable ? DaemonStopped : DaemonUsageError;
+        }
+    }
+    const auto settings = load(settingsFile);
+    if (!settings) {
+        return DaemonUsageError;
+    }
+    if (!pomeloport::startLogging("pomelo-entry", settings->logLevel)) {
+        std::cerr << settingsFile << ": " << pomeloport::lastReason() << '\n';
+        return DaemonUsageError;
+    }
+    return run(*settings, settingsFile);
+}
