--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -48,6 +48,8 @@
 {
     const BackendEntry *first = nullptr;
     std::vector<const BackendEntry *> helpers;
+    /// Memory to set aside at each helper, in tokens; empty when the first engine holds the whole prompt.
+    std::vector<std::uint64_t> tickets;
     /// Predicted time until the first event.
     Duration predictedFirst{};
     /// Worth that the choice puts at risk.
@@ -56,6 +58,10 @@
     double damage = 0;
     /// Reading time of each part, in milliseconds.
     double partMs = 0;
+    /// How likely the first event comes too late, 0 to 1.
+    double late = 0;
+    /// Reading that is left at all engines, per engine, in milliseconds.
+    double backlogMs = 0;
 };
 
 /// Weights of the choice.
@@ -75,14 +81,25 @@
     double spreadCost = 0.08;
     /// Share of worth that a delay of one whole target costs, so that sooner is better among equals.
     double delayCost = 0.05;
-    /// Share of worth that each further engine costs: one more that may fail.
-    double helperCost = 0.004;
+    /// Worth that each further engine costs: one more that may fail.
+    double helperCost = 0.03;
+    /// Share of worth that it costs to set memory aside at another engine.
+    double ticketCost = 0.01;
     /// Engines that read one prompt at most, besides the first: the wire's limit.
     std::size_t maximumHelpers = 16;
     /// Streams that one engine writes at most, as a share of its slots.
     double slotShare = 0.9;
     /// Share of an engine's memory that is filled.
     double memoryShare = 0.95;
+    /// Worth of one second of an engine's reading while demand is high: that of prompts which would have to wait.
+    double readingPrice = 2.5;
+    /// Shares of all engines that arriving reading work keeps busy, between which that price grows from nothing.
+    double busyFrom = 0.5;
+    double busyTo = 0.9;
+    /// How much a second of backlog on every engine adds to the busy share.
+    double busyPerBacklog = 0.3;
+    /// Chance that a prompt that is held is served late.
+    double heldChance = 0.8;
     /// Time on the way to an engine and back, in milliseconds.
     double roundTripMs = 3;
 };
@@ -101,6 +118,15 @@
                                           const EnginePolicy &policy,
                                           Instant now);
 
+/// Whether a prompt is better held than placed as chosen, because its reading would delay prompts that are worth more
+/// for the time that they take. The rate is that of WorkLedger::readingRate().
+bool betterHeld(const PromptWork &work,
+                const EngineCost &cost,
+                const EngineChoice &choice,
+                std::size_t engines,
+                double readingRate,
+                const EnginePolicy &policy);
+
 /// What an engine is doing, as the ledger tells.
 struct EngineLoad
 {
--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -34,6 +34,8 @@
     Duration target{};
     Instant arrival{};
     Instant deadline{};
+    /// When the caller leaves if no event has come.
+    Instant abandoned{};
     /// Whether an attempt without an answer may be repeated.
     bool repeatable = false;
 };
@@ -59,15 +61,20 @@
     Duration waitStep = std::chrono::milliseconds(20);
     /// Share of the time until its deadline that a call waits for a place before it is refused.
     double longestWait = 0.35;
+    /// A prompt that is held starts this much before the last moment, for what was not foreseen.
+    Duration heldMargin = std::chrono::milliseconds(500);
     /// Requests beyond its slots that a backend server of a plain service is given.
     std::uint32_t serviceQueue = 4;
     /// An attempt at a repeatable call without an answer is repeated after this multiple of the predicted time.
     double patienceFactor = 3;
-    /// Least time until such an attempt is repeated.
+    /// Least time until such an attempt is repeated, also as a share of the time that callers hope for; the latter by
+    /// whether the call is a prompt, whose repetition costs its reading.
     Duration leastPatience = std::chrono::milliseconds(40);
+    double plainPatience = 0.5;
+    double promptPatience = 4;
     /// Prompt tokens whose answer has the worth 1, and the power by which worth grows with size.
     double unitTokens = 5000;
-    double worthPower = 0.75;
+    double worthPower = 0.8;
 };
 
 /// Chooses places for calls. Safe from any thread.
@@ -82,8 +89,21 @@
     /// Chooses a place for an attempt; the members and helpers of a route are ids of backend servers.
     pomeloport::RouteDecision choose(const CallWork &work, const pomeloport::RouteQuery &query, Instant now, ChoiceNote &note);
 
+    /// Plans a place for a prompt that needs memory at several engines; nothing while there is none. The helpers of the
+    /// route name no tickets yet; their tokens stand beside them.
+    struct GroupPlan
+    {
+        pomeloport::Route route;
+        std::vector<std::uint64_t> tickets;
+    };
+    std::optional<GroupPlan> planGroup(const CallWork &work, const std::vector<std::string> &avoid, Instant now);
+
     /// Books an attempt, notes its first answer, and closes it.
-    void opened(const CallWork &work, std::uint32_t attempt, const pomeloport::Route &route, Instant now);
+    void opened(const CallWork &work,
+                std::uint32_t attempt,
+                const pomeloport::Route &route,
+                const std::vector<std::uint64_t> &tickets,
+                Instant now);
     void answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now);
     void closed(const CallWork &work,
                 std::uint32_t attempt,
@@ -139,6 +159,15 @@
                                           const pomeloport::RouteQuery &query,
                                           Instant now,
                                           ChoiceNote &note);
+    std::optional<EngineChoice> bestEngines(const CallWork &work,
+                                            const EngineCost &cost,
+                                            const std::vector<std::string> &avoid,
+                                            Instant now,
+                                            ChoiceNote &note);
+    bool hold(const CallWork &work, const EngineCost &cost, const EngineChoice &choice, Instant now) const;
+    Instant lastStart(const CallWork &work, const EngineChoice &choice) const;
+    PromptWork promptOf(const CallWork &work) const;
+    pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const;
     Health &health(std::uint32_t key);
     std::uint32_t keyOf(const std::string &backend) const;
--- a/src/include/pomeloentry/entrysettings.h
+++ b/src/include/pomeloentry/entrysettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pomeloentry/entryplacement.h"
+
 #include "pomeloport/settings.h"
 
 #include <chrono>
@@ -40,8 +42,8 @@
     /// How long memory set aside may stay so after its last use.
     std::chrono::milliseconds memoryFreeTime{4000};
     std::string logLevel = "info";
-
-    auto operator<=>(const EntrySettings &) const = default;
+    /// How calls are placed.
+    EntryPolicy policy;
 };
 
 } // namespace pomeloentry
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -98,6 +98,8 @@
     /// Work of others counts for this long after its sender was last heard: a few of the intervals at which whole
     /// lists are sent.
     static constexpr Duration Expiry = std::chrono::milliseconds(1500);
+    /// Time over which arriving work is averaged: as long as a swing of demand takes to be felt.
+    static constexpr Duration RateTime = std::chrono::milliseconds(2000);
 
     /// Own work.
     void open(WorkItem item);
@@ -131,6 +133,9 @@
     /// Whether there are changes to tell.
     bool hasChanges() const;
 
+    /// Reading work that arrived lately, on all instances, in milliseconds of one engine for each millisecond.
+    double readingRate(Instant now) const;
+
 private:
     struct Sender
     {
@@ -140,6 +145,11 @@
         std::map<std::uint64_t, std::uint32_t> epochs;
     };
 
+    void noteArrival(const WorkItem &item, Instant now);
+
+    /// Sum of arrived reading work that decays over RateTime, and when it was last brought up to date.
+    double m_arrivedMs = 0;
+    Instant m_arrivedAt{};
     std::map<std::uint64_t, WorkItem> m_own;
     std::map<std::string, Sender> m_others;
     std::vector<std::uint64_t> m_changed;
--- a/src/include/pomeloport/coordination/route.h
+++ b/src/include/pomeloport/coordination/route.h
@@ -100,7 +100,8 @@
     EnginePriority priority = EnginePriority::Normal;
     /// Names the reservation of a group at its coordinator; 0 for a single engine.
     std::uint64_t reservation = 0;
-    /// An attempt at a repeatable request without a first chunk for this long counts as broken; zero for no limit.
+    /// An attempt at a repeatable request without a first chunk for this long counts as broken when
+    /// another attempt is left; zero for no limit.
     Duration patience{};
     /// Engines that read parts of the prompt for the first member.
     std::vector<RouteHelper> helpers;
--- a/src/include/pomeloport/daemonoptions.h
+++ b/src/include/pomeloport/daemonoptions.h
@@ -22,12 +22,18 @@
     std::string_view purpose;
     /// The exit codes, in one line.
     std::string_view exitCodes;
+    /// Environment variable that names the settings file where --settings is absent; may be null.
+    const char *settingsVariable = nullptr;
+    /// Whether the program takes a file with its policy.
+    bool policy = false;
 };
 
 /// A command line that asks to run the program or to check its settings.
 struct DaemonOptions
 {
     std::string settingsFile;
+    /// Empty for the built-in policy.
+    std::string policyFile;
     /// Check the settings and start nothing.
     bool check = false;
 };
--- a/src/libpomeloentry/admission.cpp
+++ b/src/libpomeloentry/admission.cpp
@@ -24,6 +24,15 @@
 /// Urgency has ten steps on the way to a backend server.
 constexpr std::uint32_t LeastUrgent = 9;
 
+/// Callers leave a stream after the longest of these pauses, also before its first event.
+Duration abandonTime(const CallRoute &route)
+{
+    constexpr Duration LeastPause = std::chrono::seconds(2);
+    constexpr int Targets = 4;
+    constexpr int Gaps = 8;
+    return std::max({LeastPause, Duration(route.target * Targets), Duration(route.eventGap * Gaps)});
+}
+
 double randomShare()
 {
     static thread_local std::mt19937_64 random{std::random_device{}()};
@@ -79,6 +88,7 @@
         time = std::min<Duration>(time, *call.request.patience);
     }
     work.deadline = now + time;
+    work.abandoned = std::min(work.deadline, now + abandonTime(*call.route));
     work.repeatable =
         work.kind == CallKind::Idempotent || (work.kind == CallKind::Streaming && call.route->resumable);
     return call;
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace pomeloentry
 {
@@ -30,6 +31,11 @@
     return std::clamp((share - safe) / (certain - safe), 0.0, 1.0);
 }
 
+bool isSet(std::uint64_t tokens)
+{
+    return tokens > 0;
+}
+
 /// An engine with what is known of it, and what a part of the prompt would do there.
 struct Rated
 {
@@ -68,6 +74,7 @@
                 * engine.pace;
             const auto memory = static_cast<double>(m_cost.memoryTokens) * m_policy.memoryShare;
             rated.freeTokens = memory - static_cast<double>(rated.load.memoryTokens);
+            m_backlogMs += rated.load.backlogMs;
             m_engines.push_back(std::move(rated));
         }
     }
@@ -119,19 +126,47 @@
         return rated.load.writers.empty() ? 0 : rated.passMs / 2;
     }
 
-    bool fits(const Rated &rated) const
+    bool hasSlot(const Rated &rated) const
     {
-        const auto tokens = static_cast<double>(m_work.promptTokens + m_work.answerTokens);
         const auto slots = static_cast<double>(m_cost.slots) * m_policy.slotShare;
-        return tokens <= rated.freeTokens && static_cast<double>(rated.load.requests) + 1 <= slots;
+        return rated.freeTokens > 0 && static_cast<double>(rated.load.requests) + 1 <= slots;
+    }
+
+    /// Sets memory aside at the helpers for what the first engine cannot hold; false when they cannot either.
+    bool planTickets(const Rated &first, const std::vector<const Rated *> &chosen, EngineChoice &choice) const
+    {
+        double missing = static_cast<double>(m_work.promptTokens + m_work.answerTokens) - first.freeTokens;
+        if (missing <= 0) {
+            return true;
+        }
+        choice.tickets.assign(chosen.size(), 0);
+        std::vector<std::size_t> order(chosen.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::ranges::sort(order, [&chosen](std::size_t left, std::size_t right) {
+            return chosen[left]->freeTokens > chosen[right]->freeTokens;
+        });
+        for (const auto index : order) {
+            const double taken = std::min(missing, std::max(chosen[index]->freeTokens, 0.0));
+            choice.tickets[index] = static_cast<std::uint64_t>(std::ceil(taken));
+            missing -= taken;
+            if (missing <= 0) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /// Loss of the prompt itself when its first event comes after this time.
     double ownLoss(double firstMs) const
     {
         const double target = std::max(m_dueInMs, 1.0);
-        const double late = m_dueInMs <= 0 ? 1 : missed(firstMs / target, m_policy.firstSafe, m_policy.firstMissed);
-        return m_work.worth * (m_policy.lateLoss * late + m_policy.delayCost * std::min(firstMs / target, 10.0));
+        return m_work.worth
+            * (m_policy.lateLoss * lateness(firstMs) + m_policy.delayCost * std::min(firstMs / target, 10.0));
+    }
+
+    double lateness(double firstMs) const
+    {
+        return m_dueInMs <= 0 ? 1 : missed(firstMs / m_dueInMs, m_policy.firstSafe, m_policy.firstMissed);
     }
 
     void consider(std::size_t parts, std::optional<EngineChoice> &result)
@@ -169,7 +204,7 @@
                        double partMs,
                        std::optional<EngineChoice> &result) const
     {
-        if (!fits(first)) {
+        if (!hasSlot(first)) {
             return;
         }
         const double pace = first.candidate->pace;
@@ -179,6 +214,7 @@
         choice.damage = damage(first, partMs * pace, false) + first.candidate->risk * m_work.worth;
         double finishMs =
             m_policy.roundTripMs + waitForPass(first) + first.load.backlogMs + partMs * pace;
+        std::vector<const Rated *> chosen;
         for (const auto *helper : helpers) {
             if (choice.helpers.size() + 1 == parts) {
                 break;
@@ -186,22 +222,26 @@
             if (helper == &first) {
                 continue;
             }
+            chosen.push_back(helper);
             choice.helpers.push_back(helper->candidate->backend);
             choice.damage += helper->helperDamage;
             finishMs = std::max(finishMs, helper->helperFinishMs);
         }
-        if (choice.helpers.size() + 1 < parts) {
+        if (choice.helpers.size() + 1 < parts || !planTickets(first, chosen, choice)) {
             return;
         }
         const double firstMs = finishMs + first.passMs;
         const bool tight = m_work.eventGap < m_policy.tightGap;
         double loss = choice.damage + ownLoss(firstMs);
-        loss += m_work.worth * m_policy.helperCost * static_cast<double>(parts - 1);
+        loss += m_policy.helperCost * static_cast<double>(parts - 1);
+        loss += m_work.worth * m_policy.ticketCost * static_cast<double>(std::ranges::count_if(choice.tickets, isSet));
         if (tight && !first.load.tight) {
             loss += m_work.worth * m_policy.spreadCost;
         }
         if (!result || loss < result->loss) {
             choice.loss = loss;
+            choice.late = lateness(firstMs);
+            choice.backlogMs = m_backlogMs / static_cast<double>(m_engines.size());
             choice.predictedFirst = fromMilliseconds(firstMs);
             result = std::move(choice);
         }
@@ -214,6 +254,7 @@
     double m_wholeMs;
     /// Reading in one pass at most.
     double m_passReadMs;
+    double m_backlogMs = 0;
     std::vector<Rated> m_engines;
 };
 
@@ -243,6 +284,23 @@
     return chooser.best();
 }
 
+bool betterHeld(const PromptWork &work,
+                const EngineCost &cost,
+                const EngineChoice &choice,
+                std::size_t engines,
+                double readingRate,
+                const EnginePolicy &policy)
+{
+    constexpr double MsPerSecond = 1000;
+    const double busy = readingRate / std::max(static_cast<double>(engines), 1.0)
+        + policy.busyPerBacklog * choice.backlogMs / MsPerSecond;
+    const double share = std::clamp((busy - policy.busyFrom) / (policy.busyTo - policy.busyFrom), 0.0, 1.0);
+    const double seconds = readingMs(cost, static_cast<double>(work.promptTokens)) / MsPerSecond;
+    const double lateWorth = 1 - policy.lateLoss;
+    const double gain = work.worth * (lateWorth * (1 - policy.heldChance) + policy.lateLoss * (1 - choice.late));
+    return gain - choice.damage < policy.readingPrice * share * seconds;
+}
+
 EngineLoad engineLoad(const std::vector<WorkLedger::Placed> &placed,
                       const EngineCost &cost,
                       double pace,
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -59,7 +59,7 @@
 
 EntryPolicy EntryCore::policyOf(const EntrySettings &settings)
 {
-    EntryPolicy policy;
+    EntryPolicy policy = settings.policy;
     const double slack = settings.retrySlack * BudgetCaution / BudgetShares;
     policy.retries.perRequest = settings.retryRatio * BudgetCaution;
     policy.retries.greatest = slack / 2;
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -87,6 +87,33 @@
                                            const RouteQuery &query,
                                            Instant now,
                                            ChoiceNote &note)
+{
+    const auto choice = bestEngines(work, cost, query.avoid, now, note);
+    if (!choice) {
+        note.reason = "no engine has a free slot and memory";
+        return waitOrRefuse(work, now, note);
+    }
+    if (hold(work, cost, *choice, now)) {
+        note.reason = "reading it would delay prompts that are worth more";
+        const auto last = lastStart(work, *choice);
+        if (now < last) {
+            return WaitUntil{std::min(now + m_policy.waitStep, last)};
+        }
+        if (choice->damage > worthOf(work) * (1 - m_policy.engines.lateLoss)) {
+            return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
+        }
+    }
+    if (!choice->tickets.empty()) {
+        return pomeloport::NeedsGroup{work.service, memoryTokens(work)};
+    }
+    return routeOf(work, *choice);
+}
+
+std::optional<EngineChoice> EntryPlacement::bestEngines(const CallWork &work,
+                                                        const EngineCost &cost,
+                                                        const std::vector<std::string> &avoid,
+                                                        Instant now,
+                                                        ChoiceNote &note)
 {
     const auto found = m_services.find(work.service);
     std::vector<EngineCandidate> candidates;
@@ -94,7 +121,7 @@
         const auto &view = found->second;
         for (std::size_t i = 0; i < view.backends.size(); ++i) {
             const auto &known = health(view.keys[i]);
-            const bool avoided = contains(query.avoid, view.backends[i]->id);
+            const bool avoided = contains(avoid, view.backends[i]->id);
             if (view.backends[i]->leaving || avoided || !known.breaker.permits(now)) {
                 ++note.excluded;
                 continue;
@@ -103,33 +130,67 @@
         }
     }
     note.candidates = candidates.size();
-    if (candidates.empty()) {
-        return waitOrRefuse(work, now, note);
-    }
-    const PromptWork prompt{work.promptTokens,
-                            work.answerTokens,
-                            work.eventGap,
-                            work.arrival + work.target,
-                            work.deadline,
-                            worthOf(work)};
-    const auto choice = chooseEngines(prompt, cost, candidates, m_ledger.byBackend(), m_policy.engines, now);
-    if (!choice) {
-        note.reason = "no engine has a free slot and memory";
-        return waitOrRefuse(work, now, note);
+    auto choice = chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), m_policy.engines, now);
+    if (choice) {
+        note.predictedFirst = choice->predictedFirst;
+        note.loss = choice->loss;
+        note.damage = choice->damage;
     }
-    note.predictedFirst = choice->predictedFirst;
-    note.loss = choice->loss;
-    note.damage = choice->damage;
+    return choice;
+}
+
+bool EntryPlacement::hold(const CallWork &work, const EngineCost &cost, const EngineChoice &choice, Instant now) const
+{
+    const auto found = m_services.find(work.service);
+    const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
+    return betterHeld(promptOf(work), cost, choice, engines, m_ledger.readingRate(now), m_policy.engines);
+}
+
+Instant EntryPlacement::lastStart(const CallWork &work, const EngineChoice &choice) const
+{
+    return work.abandoned - choice.predictedFirst - m_policy.heldMargin;
+}
+
+PromptWork EntryPlacement::promptOf(const CallWork &work) const
+{
+    return {work.promptTokens,
+            work.answerTokens,
+            work.eventGap,
+            work.arrival + work.target,
+            work.deadline,
+            worthOf(work)};
+}
+
+Route EntryPlacement::routeOf(const CallWork &work, const EngineChoice &choice) const
+{
     Route route;
-    route.members.push_back({choice->first->id, 0, work.promptTokens});
-    for (const auto *helper : choice->helpers) {
+    route.members.push_back({choice.first->id, 0, work.promptTokens});
+    for (const auto *helper : choice.helpers) {
         route.helpers.push_back({helper->id, {}});
     }
-    const auto patience = pomeloport::fromSeconds(pomeloport::seconds(choice->predictedFirst) * m_policy.patienceFactor);
-    route.patience = std::max<Duration>(patience, work.target * 2);
+    const double predicted = pomeloport::seconds(choice.predictedFirst) * m_policy.patienceFactor;
+    const double hoped = pomeloport::seconds(work.target) * m_policy.promptPatience;
+    route.patience = pomeloport::fromSeconds(std::max(predicted, hoped));
     return route;
 }
 
+std::optional<EntryPlacement::GroupPlan> EntryPlacement::planGroup(const CallWork &work,
+                                                                   const std::vector<std::string> &avoid,
+                                                                   Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.expire(now);
+    const auto *engine = engineOf(work.service);
+    ChoiceNote note;
+    const auto choice = engine ? bestEngines(work, *engine, avoid, now, note) : std::nullopt;
+    if (!choice) {
+        return std::nullopt;
+    }
+    GroupPlan plan{routeOf(work, *choice), choice->tickets};
+    plan.tickets.resize(plan.route.helpers.size());
+    return plan;
+}
+
 RouteDecision EntryPlacement::choosePlain(const CallWork &work, const RouteQuery &query, Instant now, ChoiceNote &note)
 {
     const auto found = m_services.find(work.service);
@@ -168,8 +229,9 @@
     note.predictedFirst = pomeloport::fromSeconds(bestMs / 1000);
     Route route;
     route.members.push_back({best->id, 0, 0});
-    const auto patience = pomeloport::fromSeconds(bestMs * m_policy.patienceFactor / 1000);
-    route.patience = std::max(patience, m_policy.leastPatience);
+    const auto predicted = pomeloport::fromSeconds(bestMs * m_policy.patienceFactor / 1000);
+    const auto hoped = pomeloport::fromSeconds(pomeloport::seconds(work.target) * m_policy.plainPatience);
+    route.patience = std::max({predicted, hoped, m_policy.leastPatience});
     return route;
 }
 
@@ -184,7 +246,11 @@
     return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
 }
 
-void EntryPlacement::opened(const CallWork &work, std::uint32_t attempt, const Route &route, Instant now)
+void EntryPlacement::opened(const CallWork &work,
+                            std::uint32_t attempt,
+                            const Route &route,
+                            const std::vector<std::uint64_t> &tickets,
+                            Instant now)
 {
     const std::lock_guard lock(m_mutex);
     WorkItem item;
@@ -200,9 +266,14 @@
     const auto add = [&](const std::string &backend, std::uint64_t tokens) {
         item.parts.push_back({keyOf(backend), static_cast<float>(readMs), static_cast<std::uint32_t>(tokens)});
     };
-    add(route.members.front().backend, engine ? memoryTokens(work) : 0);
-    for (const auto &helper : route.helpers) {
-        add(helper.backend, 0);
+    std::uint64_t elsewhere = 0;
+    for (const auto tokens : tickets) {
+        elsewhere += tokens;
+    }
+    const auto whole = engine ? memoryTokens(work) : 0;
+    add(route.members.front().backend, whole - std::min(whole, elsewhere));
+    for (std::size_t i = 0; i < route.helpers.size(); ++i) {
+        add(route.helpers[i].backend, i < tickets.size() ? tickets[i] : 0);
     }
     for (const auto &part : item.parts) {
         health(part.backend).breaker.sent(now);
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -32,8 +32,10 @@
 constexpr std::chrono::milliseconds KeptConnection{30'000};
 /// A stream counts as stalled after this multiple of its longest pause, within these bounds.
 constexpr int StallFactor = 4;
-constexpr Duration LeastStall = std::chrono::milliseconds(1000);
+constexpr Duration LeastStall = std::chrono::milliseconds(1650);
 constexpr Duration MostStall = std::chrono::milliseconds(3000);
+/// When a caller may ask again whose prompt found no memory.
+constexpr std::chrono::milliseconds RetryAfterNoMemory{500};
 /// Kept of a call's time for telling the caller.
 constexpr std::chrono::milliseconds AnswerMargin{5};
 
@@ -95,6 +97,7 @@
           m_call.work.sequence)
     , m_series(m_core->metrics.series(m_call.organisation, promptClass(m_call.work.promptTokens)))
     , m_lastEvent(m_call.request.lastEvent)
+    , m_groupTimer(m_executor)
 {
     ++m_core->openCalls;
 }
@@ -108,6 +111,9 @@
                                  action::CloseAttempt::Outcome::Abandoned,
                                  steadyNow());
     }
+    if (m_tickets) {
+        m_tickets->release();
+    }
     --m_core->openCalls;
 }
 
@@ -171,7 +177,7 @@
 {
     const auto &backendId = action.route.members.front().backend;
     const auto now = steadyNow();
-    m_core->placement.opened(m_call.work, action.attempt, action.route, now);
+    m_core->placement.opened(m_call.work, action.attempt, action.route, m_ticketTokens, now);
     if (m_attempts++ == 0) {
         m_series->recordQueueWait(now - m_call.work.arrival);
     }
@@ -219,6 +225,97 @@
         });
 }
 
+void EntrySession::execute(action::ReserveGroup & /*action*/)
+{
+    reserveGroup();
+}
+
+/// Plans engines for a prompt that is larger than the free memory of one, and asks them for it.
+void EntrySession::reserveGroup()
+{
+    const auto now = steadyNow();
+    auto plan = m_core->placement.planGroup(m_call.work, m_faulty, now);
+    const auto fleet = m_core->fleet.current();
+    std::vector<Ticket> tickets;
+    for (std::size_t i = 0; plan && i < plan->tickets.size(); ++i) {
+        auto &helper = plan->route.helpers[i];
+        const auto known = fleet->backends.find(helper.backend);
+        if (plan->tickets[i] == 0 || known == fleet->backends.end()) {
+            continue;
+        }
+        helper.ticket = m_call.request.attemptId + "-" + std::to_string(m_reservations) + "-" + std::to_string(i);
+        tickets.push_back({helper.backend, known->second.address, helper.ticket, plan->tickets[i]});
+    }
+    if (!plan) {
+        retryGroup();
+        return;
+    }
+    plan->route.reservation = ++m_reservations;
+    m_groupRoute = std::move(plan->route);
+    m_ticketTokens = std::move(plan->tickets);
+    if (tickets.empty()) {
+        feed(event::GroupGranted{m_groupRoute});
+        return;
+    }
+    m_tickets = std::make_shared<TicketHolder>(m_core, m_executor, std::move(tickets));
+    m_tickets->reserve([weak = weak_from_this()](const std::string &failed) {
+        if (const auto self = weak.lock()) {
+            self->groupSettled(failed);
+        }
+    });
+}
+
+void EntrySession::groupSettled(const std::string &failed)
+{
+    if (failed.empty()) {
+        logEvent(LogLevel::Info,
+                 "choice",
+                 {{"id", m_call.request.attemptId},
+                  {"attempt", m_attempts + 1},
+                  {"backend", m_groupRoute.members.front().backend},
+                  {"helpers", m_groupRoute.helpers.size()},
+                  {"tickets", m_tickets->tickets().size()},
+                  {"predicted_ms", m_groupRoute.patience.count() / 1000},
+                  {"loss", 0},
+                  {"damage", 0},
+                  {"waited_ms", (steadyNow() - m_call.work.arrival).count() / 1000}});
+        feed(event::GroupGranted{m_groupRoute});
+        return;
+    }
+    m_faulty.push_back(failed);
+    std::exchange(m_tickets, nullptr)->release();
+    retryGroup();
+}
+
+/// Plans again shortly, or refuses when that took too large a part of the caller's time.
+void EntrySession::retryGroup()
+{
+    constexpr std::chrono::milliseconds PlanInterval{30};
+    const auto now = steadyNow();
+    const auto span = m_call.work.deadline - m_call.work.arrival;
+    if (now + PlanInterval > m_call.work.arrival + fromSeconds(seconds(span) * m_core->settings.policy.longestWait)) {
+        const Failure failure{Verdict::NotRun, ReasonCode::Overloaded, "no engines have the memory", RetryAfterNoMemory};
+        feed(event::GroupRefused{failure});
+        return;
+    }
+    m_groupTimer.expires_after(PlanInterval);
+    m_groupTimer.async_wait([weak = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_finished) {
+            self->m_faulty.clear();
+            self->reserveGroup();
+        }
+    });
+}
+
+void EntrySession::execute(action::ReleaseGroup & /*action*/)
+{
+    if (m_tickets) {
+        std::exchange(m_tickets, nullptr)->release();
+    }
+    m_ticketTokens.clear();
+}
+
 void EntrySession::execute(action::CancelAttempt &action)
 {
     if (m_attempt.stream) {
@@ -343,7 +440,11 @@
 void EntrySession::execute(action::Close & /*action*/)
 {
     m_timer.cancel();
+    m_groupTimer.cancel();
     m_finished = true;
+    if (m_tickets) {
+        std::exchange(m_tickets, nullptr)->release();
+    }
     m_exchange->onClosed([] {});
 }
 
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -2,6 +2,7 @@
 
 #include "entrycore.h"
 #include "eventsplitter.h"
+#include "ticketholder.h"
 
 #include "pomeloentry/wire.h"
 
@@ -58,7 +59,9 @@
     void execute(pomeloport::action::DeliverFailure &action);
     void execute(pomeloport::action::ArmTimer &action);
     void execute(pomeloport::action::Close &action);
-    /// Claims, groups and exported segments do not occur in relayed calls.
+    void execute(pomeloport::action::ReserveGroup &action);
+    void execute(pomeloport::action::ReleaseGroup &action);
+    /// Claims and exported segments do not occur in relayed calls.
     template<typename Action>
     void execute(Action & /*action*/)
     {
@@ -97,6 +100,9 @@
     void timerDue();
     void sendFailure(const pomeloport::Failure &failure);
     std::chrono::milliseconds timeLeft() const;
+    void reserveGroup();
+    void groupSettled(const std::string &failed);
+    void retryGroup();
     void logEnd(std::string_view outcome, const std::string &detail);
 
     std::shared_ptr<EntryCore> m_core;
@@ -113,6 +119,12 @@
     std::string m_failureBody;
     std::optional<std::uint64_t> m_lastEvent;
     std::deque<pomeloport::FlowEvent> m_events;
+    /// Memory at several engines for the present attempt, and the route that it is for.
+    std::shared_ptr<TicketHolder> m_tickets;
+    pomeloport::Route m_groupRoute;
+    std::vector<std::uint64_t> m_ticketTokens;
+    std::uint32_t m_reservations = 0;
+    boost::asio::steady_timer m_groupTimer;
     /// Other backend servers that were at fault, such as helpers.
     std::vector<std::string> m_faulty;
     std::size_t m_unwritten = 0;
--- /dev/null
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -0,0 +1,132 @@
+#include "ticketholder.h"
+
+#include "pomeloentry/wire.h"
+
+#include "pomeloport/logging.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace pomeloentry
+{
+
+using namespace pomeloport;
+
+namespace
+{
+
+constexpr unsigned StatusOk = 200;
+/// Longest wait for an engine's answer to an order: a few round trips.
+constexpr std::chrono::milliseconds OrderTimeout{400};
+/// Memory of a process that dies is free after the hold time, so this lies below the time that operators allow.
+constexpr double HoldShare = 0.75;
+/// Renewals in one hold time: two may be lost.
+constexpr int RenewalsPerHold = 3;
+constexpr int ReleaseTries = 3;
+
+} // namespace
+
+TicketHolder::TicketHolder(std::shared_ptr<EntryCore> core, Executor executor, std::vector<Ticket> tickets)
+    : m_core(std::move(core))
+    , m_executor(executor)
+    , m_timer(executor)
+    , m_tickets(std::move(tickets))
+    , m_holdTime(static_cast<std::int64_t>(static_cast<double>(m_core->settings.memoryFreeTime.count()) * HoldShare))
+{
+}
+
+const std::vector<Ticket> &TicketHolder::tickets() const
+{
+    return m_tickets;
+}
+
+void TicketHolder::reserve(std::function<void(const std::string &)> settled)
+{
+    m_settled = std::move(settled);
+    m_open = m_tickets.size();
+    for (const auto &ticket : m_tickets) {
+        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
+        call.timeout = OrderTimeout;
+        m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
+            const bool granted = reply && reply->status == StatusOk;
+            const auto status = reply ? reply->status : 0;
+            logEvent(LogLevel::Info,
+                     "ticket",
+                     {{"ticket", ticket.name},
+                      {"backend", ticket.backend},
+                      {"tokens", ticket.tokens},
+                      {"granted", granted},
+                      {"status", status}});
+            boost::asio::post(self->m_executor, [self, ticket, granted] { self->answered(ticket, granted); });
+        });
+    }
+    armRenewal();
+}
+
+void TicketHolder::answered(const Ticket &ticket, bool granted)
+{
+    if (!granted) {
+        m_failed = ticket.backend;
+    }
+    if (--m_open == 0 && m_settled && !m_released) {
+        std::exchange(m_settled, nullptr)(m_failed);
+    }
+}
+
+void TicketHolder::armRenewal()
+{
+    m_timer.expires_after(m_holdTime / RenewalsPerHold);
+    m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (!error && !self->m_released) {
+            self->renew();
+        }
+    });
+}
+
+void TicketHolder::renew()
+{
+    for (const auto &ticket : m_tickets) {
+        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
+        call.timeout = OrderTimeout;
+        m_core->client.send(std::move(call), [ticket](auto reply, bool) {
+            if (!reply || reply->status != StatusOk) {
+                logEvent(LogLevel::Warning,
+                         "ticket_not_renewed",
+                         {{"ticket", ticket.name}, {"backend", ticket.backend}, {"status", reply ? reply->status : 0}});
+            }
+        });
+    }
+    armRenewal();
+}
+
+void TicketHolder::release()
+{
+    if (std::exchange(m_released, true)) {
+        return;
+    }
+    m_timer.cancel();
+    m_settled = nullptr;
+    for (const auto &ticket : m_tickets) {
+        free(ticket, ReleaseTries);
+    }
+}
+
+void TicketHolder::free(const Ticket &ticket, int triesLeft)
+{
+    auto call = wire::encodeReservation({ticket.address, ticket.name, 0, {}});
+    call.timeout = OrderTimeout;
+    m_core->client.send(std::move(call), [self = shared_from_this(), ticket, triesLeft](auto reply, bool) {
+        if (reply) {
+            return;
+        }
+        logEvent(LogLevel::Warning,
+                 "ticket_release_unanswered",
+                 {{"ticket", ticket.name}, {"backend", ticket.backend}, {"tries_left", triesLeft - 1}});
+        if (triesLeft > 1) {
+            boost::asio::post(self->m_executor, [self, ticket, triesLeft] { self->free(ticket, triesLeft - 1); });
+        }
+    });
+}
+
+} // namespace pomeloentry
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -1,6 +1,8 @@
 #include "pomeloentry/workledger.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 namespace pomeloentry
 {
@@ -10,6 +12,7 @@
 
 /// Items in one report, so that it fits a datagram.
 constexpr std::size_t ItemsPerPiece = 16;
+constexpr double MicrosecondsPerMillisecond = 1000;
 
 template<typename Number>
 Number milliseconds(Duration duration)
@@ -56,6 +59,7 @@
 {
     m_indexed = false;
     m_changed.push_back(item.key);
+    noteArrival(item, item.startedAt);
     const auto key = item.key;
     m_own[key] = std::move(item);
 }
@@ -98,7 +102,12 @@
     m_indexed = false;
     known.heardAt = now;
     for (const auto &told : report.items) {
-        known.items[told.key] = itemOf(told, now);
+        const bool fresh = !known.items.contains(told.key);
+        auto &item = known.items[told.key];
+        item = itemOf(told, now);
+        if (fresh) {
+            noteArrival(item, now);
+        }
         known.epochs[told.key] = report.epoch;
     }
     for (const auto key : report.ended) {
@@ -183,6 +192,22 @@
     return pieces;
 }
 
+void WorkLedger::noteArrival(const WorkItem &item, Instant now)
+{
+    m_arrivedMs = readingRate(now) * static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond;
+    m_arrivedAt = std::max(m_arrivedAt, now);
+    for (const auto &part : item.parts) {
+        m_arrivedMs += part.readMs;
+    }
+}
+
+double WorkLedger::readingRate(Instant now) const
+{
+    const double elapsed = std::max(0.0, pomeloport::seconds(now - m_arrivedAt));
+    const double kept = std::exp(-elapsed / pomeloport::seconds(RateTime));
+    return m_arrivedMs * kept / (static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond);
+}
+
 bool WorkLedger::hasChanges() const
 {
     return !m_changed.empty() || !m_ended.empty();
--- a/src/libpomeloport/coordination/flowtimers.cpp
+++ b/src/libpomeloport/coordination/flowtimers.cpp
@@ -87,7 +87,8 @@
         return m_stallAt;
     }
     const Duration patience = m_routes.back().patience;
-    if (!m_sent || m_spec.nonIdempotent || patience == Duration::zero()) {
+    const bool lastAttempt = m_countedAttempts >= m_limits.maximumAttempts;
+    if (!m_sent || lastAttempt || m_spec.nonIdempotent || patience == Duration::zero()) {
         return std::nullopt;
     }
     return m_sentAt + patience;
--- a/src/libpomeloport/settings/daemonoptions.cpp
+++ b/src/libpomeloport/settings/daemonoptions.cpp
@@ -3,6 +3,7 @@
 #include <boost/program_options.hpp>
 
 #include <chrono>
+#include <cstdlib>
 #include <iostream>
 
 namespace pomeloport
@@ -39,7 +40,10 @@
     auto add = visible.add_options();
     add("help,h", "show this help");
     add("version", "show the version");
-    add("settings,s", po::value(&options.settingsFile), "YAML file with the settings");
+    add("settings,s", po::value(&options.settingsFile), "file with the settings");
+    if (description.policy) {
+        add("policy,p", po::value(&options.policyFile), "YAML file with weights and limits of routing decisions");
+    }
     add("check", po::bool_switch(&options.check), "check the settings and start nothing");
     po::variables_map values;
     try {
@@ -57,6 +61,10 @@
         std::cout << description.program << " 0.1.0\n";
         return std::nullopt;
     }
+    const char *named = description.settingsVariable ? std::getenv(description.settingsVariable) : nullptr;
+    if (options.settingsFile.empty() && named) {
+        options.settingsFile = named;
+    }
     if (options.settingsFile.empty()) {
         return usageError(description, "--settings is missing", exitCode);
     }
--- a/src/pomeloentry/main.cpp
+++ b/src/pomeloentry/main.cpp
@@ -1,4 +1,5 @@
 #include "pomeloentry/entry.h"
+#include "pomeloentry/policysettings.h"
 #include "pomeloentry/wire.h"
 
 #include "pomeloport/daemonoptions.h"
@@ -9,7 +10,6 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 #include <thread>
 #include <vector>
@@ -24,22 +24,27 @@
 using pomeloport::logEvent;
 using pomeloport::LogLevel;
 
-/// Names the settings file where no command line does.
-constexpr const char *SettingsVariable = "POMELOPORT_BOOT";
-
 constexpr pomeloport::DaemonDescription Description{
     "pomelo-entry",
     "Relays callers' requests to backend servers of the users' platform, answers where to connect, and keeps\n"
     "the fleet's state from the platform's store. SIGTERM starts a drain: other instances take the callers,\n"
     "requests under way are served, and the program exits 0. SIGHUP reads the settings again. Without\n"
     "--settings the file is the one that POMELOPORT_BOOT names.\n",
-    "0 drained or checked, 1 cannot run, 2 wrong usage or settings"};
+    "0 drained or checked, 1 cannot run, 2 wrong usage or settings",
+    "POMELOPORT_BOOT",
+    true};
 
 /// Reads the settings; prints every error.
-std::optional<pomeloentry::EntrySettings> load(const std::string &fileName)
+std::optional<pomeloentry::EntrySettings> load(const pomeloport::DaemonOptions &options)
 {
     pomeloport::SettingsErrors errors;
-    auto settings = pomeloentry::wire::loadSettings(fileName, errors);
+    auto settings = pomeloentry::wire::loadSettings(options.settingsFile, errors);
+    auto policy = pomeloentry::loadPolicy(options.policyFile, errors);
+    if (settings && policy) {
+        settings->policy = std::move(*policy);
+    } else {
+        settings.reset();
+    }
     for (const auto &message : errors.messages()) {
         std::cerr << message << '\n';
     }
@@ -50,10 +55,10 @@
 class SignalHandling
 {
 public:
-    SignalHandling(boost::asio::io_context &context, pomeloentry::Entry &entry, std::string settingsFile)
+    SignalHandling(boost::asio::io_context &context, pomeloentry::Entry &entry, pomeloport::DaemonOptions options)
         : m_context(context)
         , m_entry(entry)
-        , m_settingsFile(std::move(settingsFile))
+        , m_options(std::move(options))
         , m_signals(context, SIGTERM, SIGINT, SIGHUP)
     {
         wait();
@@ -74,7 +79,7 @@
     {
         if (signal == SIGHUP) {
             // Addresses and identity hold for the life of a process; a file that changes them needs a restart.
-            const bool readable = load(m_settingsFile).has_value();
+            const bool readable = load(m_options).has_value();
             logEvent(readable ? LogLevel::Info : LogLevel::Error, "reload", {{"readable", readable}});
             return;
         }
@@ -88,12 +93,12 @@
 
     boost::asio::io_context &m_context;
     pomeloentry::Entry &m_entry;
-    std::string m_settingsFile;
+    pomeloport::DaemonOptions m_options;
     bool m_leaving = false;
     boost::asio::signal_set m_signals;
 };
 
-int run(const pomeloentry::EntrySettings &settings, const std::string &settingsFile)
+int run(const pomeloentry::EntrySettings &settings, const pomeloport::DaemonOptions &options)
 {
     boost::asio::io_context context(static_cast<int>(settings.threads));
     const auto entry = pomeloentry::Entry::start(context, settings, pomeloport::incarnationNow());
@@ -101,7 +106,7 @@
         std::cerr << "pomelo-entry: " << pomeloport::lastReason() << '\n';
         return DaemonFailed;
     }
-    const SignalHandling signals(context, *entry, settingsFile);
+    const SignalHandling signals(context, *entry, options);
     logEvent(LogLevel::Info,
              "started",
              {{"instance", settings.instance},
@@ -124,29 +129,24 @@
 
 int main(int argc, char **argv)
 {
-    std::string settingsFile;
-    if (const char *named = std::getenv(SettingsVariable); named && argc == 1) {
-        settingsFile = named;
-    } else {
-        int exitCode = DaemonStopped;
-        const auto options = pomeloport::parseDaemonOptions(argc, argv, Description, exitCode);
-        if (!options) {
-            return exitCode;
-        }
-        settingsFile = options->settingsFile;
-        if (options->check) {
-            const bool usable = load(settingsFile).has_value();
-            std::cout << settingsFile << (usable ? ": ok\n" : ": not usable\n");
-            return usable ? DaemonStopped : DaemonUsageError;
-        }
+    int exitCode = DaemonStopped;
+    const auto options = pomeloport::parseDaemonOptions(argc, argv, Description, exitCode);
+    if (!options) {
+        return exitCode;
+    }
+    const auto settings = load(*options);
+    if (options->check) {
+        std::cout << options->settingsFile << (settings ? ": ok\n" : ": not usable\n");
     }
-    const auto settings = load(settingsFile);
     if (!settings) {
         return DaemonUsageError;
     }
+    if (options->check) {
+        return DaemonStopped;
+    }
     if (!pomeloport::startLogging("pomelo-entry", settings->logLevel)) {
-        std::cerr << settingsFile << ": " << pomeloport::lastReason() << '\n';
+        std::cerr << options->settingsFile << ": " << pomeloport::lastReason() << '\n';
         return DaemonUsageError;
     }
-    return run(*settings, settingsFile);
+    return run(*settings, *options);
 }
