--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -27,11 +27,20 @@
     Duration eventGap{};
     /// When the first event should come, and when nobody waits for it any more.
     Instant due{};
-    Instant deadline{};
+    Instant abandoned{};
     /// What an answer in time is worth.
     double worth = 1;
 };
 
+/// What arrived lately, at all instances.
+struct EngineDemand
+{
+    /// Reading work, in milliseconds of one engine for each millisecond.
+    double readingRate = 0;
+    /// Streams with tight pauses, for each second.
+    double tightRate = 0;
+};
+
 /// An engine that may be chosen.
 struct EngineCandidate
 {
@@ -58,8 +67,9 @@
     double damage = 0;
     /// Reading time of each part, in milliseconds.
     double partMs = 0;
-    /// How likely the first event comes too late, 0 to 1.
+    /// How likely the first event comes too late, and how likely nobody waits for it any more, 0 to 1.
     double late = 0;
+    double abandoned = 0;
     /// Reading that is left at all engines, per engine, in milliseconds.
     double backlogMs = 0;
 };
@@ -98,8 +108,13 @@
     double busyTo = 0.9;
     /// How much a second of backlog on every engine adds to the busy share.
     double busyPerBacklog = 0.3;
+    /// Time to the first event that tight streams are kept room for, in milliseconds, and the worth of one of them.
+    double tightStartMs = 200;
+    double tightWorth = 1;
     /// Chance that a prompt that is held is served late.
     double heldChance = 0.8;
+    /// Prompts whose reading takes less are never held, in milliseconds.
+    double heldReadingMs = 1000;
     /// Time on the way to an engine and back, in milliseconds.
     double roundTripMs = 3;
 };
@@ -115,17 +130,22 @@
                                           const EngineCost &cost,
                                           const std::vector<EngineCandidate> &engines,
                                           const WorkLedger::ByBackend &inFlight,
+                                          const EngineDemand &demand,
                                           const EnginePolicy &policy,
                                           Instant now);
 
-/// Whether a prompt is better held than placed as chosen, because its reading would delay prompts that are worth more
-/// for the time that they take. The rate is that of WorkLedger::readingRate().
-bool betterHeld(const PromptWork &work,
-                const EngineCost &cost,
-                const EngineChoice &choice,
-                std::size_t engines,
-                double readingRate,
-                const EnginePolicy &policy);
+/// What the reading of a prompt costs others that arrive meanwhile, in worth: nothing while engines are idle, up to the
+/// worth of prompts that would have to wait.
+double readingPrice(const PromptWork &work,
+                    const EngineCost &cost,
+                    const EngineChoice &choice,
+                    std::size_t engines,
+                    const EngineDemand &demand,
+                    const EnginePolicy &policy);
+
+/// Whether a prompt is better held than placed as chosen, because what it gains by being placed now is less than what
+/// its reading costs.
+bool betterHeld(const PromptWork &work, const EngineChoice &choice, double price, const EnginePolicy &policy);
 
 /// What an engine is doing, as the ledger tells.
 struct EngineLoad
--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -48,6 +48,7 @@
     Duration predictedFirst{};
     double loss = 0;
     double damage = 0;
+    double price = 0;
     const char *reason = "";
 };
 
@@ -63,6 +64,11 @@
     double longestWait = 0.35;
     /// A prompt that is held starts this much before the last moment, for what was not foreseen.
     Duration heldMargin = std::chrono::milliseconds(500);
+    /// Share of long prompts that are served although that costs others more: the largest of a kind must be served at
+    /// least half as often as the kind.
+    double fairShare = 0.6;
+    /// Share of the engines that are expected to read it then.
+    double heldReaders = 0.3;
     /// Requests beyond its slots that a backend server of a plain service is given.
     std::uint32_t serviceQueue = 4;
     /// An attempt at a repeatable call without an answer is repeated after this multiple of the predicted time.
@@ -164,8 +170,13 @@
                                             const std::vector<std::string> &avoid,
                                             Instant now,
                                             ChoiceNote &note);
-    bool hold(const CallWork &work, const EngineCost &cost, const EngineChoice &choice, Instant now) const;
-    Instant lastStart(const CallWork &work, const EngineChoice &choice) const;
+    std::optional<pomeloport::RouteDecision> holdOrRefuse(const CallWork &work,
+                                                          const EngineCost &cost,
+                                                          const EngineChoice &choice,
+                                                          Instant now,
+                                                          ChoiceNote &note) const;
+    Instant lastStart(const CallWork &work, const EngineCost &cost) const;
+    EngineDemand demand(Instant now) const;
     PromptWork promptOf(const CallWork &work) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const;
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -136,6 +136,9 @@
     /// Reading work that arrived lately, on all instances, in milliseconds of one engine for each millisecond.
     double readingRate(Instant now) const;
 
+    /// Streams that arrived lately whose bound on pauses is below this, for each second.
+    double tightRate(Duration bound, Instant now) const;
+
 private:
     struct Sender
     {
@@ -145,11 +148,14 @@
         std::map<std::uint64_t, std::uint32_t> epochs;
     };
 
+    double decay(Instant now) const;
     void noteArrival(const WorkItem &item, Instant now);
 
     /// Sum of arrived reading work that decays over RateTime, and when it was last brought up to date.
     double m_arrivedMs = 0;
     Instant m_arrivedAt{};
+    /// The same for the number of streams, by their bound on pauses.
+    std::map<Duration, double> m_streams;
     std::map<std::uint64_t, WorkItem> m_own;
     std::map<std::string, Sender> m_others;
     std::vector<std::uint64_t> m_changed;
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -12,6 +12,7 @@
 
 constexpr double TokensPerThousand = 1000;
 constexpr double PairsPerMillion = 1e6;
+constexpr double MsPerSecond = 1000;
 /// Least reading time left of a prompt whose first event has not come although its time is over, in milliseconds.
 constexpr double LeastRemainingMs = 10;
 
@@ -51,11 +52,17 @@
 class Chooser
 {
 public:
-    Chooser(const PromptWork &work, const EngineCost &cost, const EnginePolicy &policy, Instant now)
+    Chooser(const PromptWork &work,
+            const EngineCost &cost,
+            const EngineDemand &demand,
+            const EnginePolicy &policy,
+            Instant now)
         : m_work(work)
         , m_cost(cost)
+        , m_demand(demand)
         , m_policy(policy)
         , m_dueInMs(milliseconds(work.due - now))
+        , m_abandonedInMs(milliseconds(work.abandoned - now))
         , m_wholeMs(readingMs(cost, static_cast<double>(work.promptTokens)))
         , m_passReadMs(cost.chunkTokens * cost.stepsPerPass * m_wholeMs
                        / std::max(static_cast<double>(work.promptTokens), 1.0))
@@ -75,6 +82,7 @@
             const auto memory = static_cast<double>(m_cost.memoryTokens) * m_policy.memoryShare;
             rated.freeTokens = memory - static_cast<double>(rated.load.memoryTokens);
             m_backlogMs += rated.load.backlogMs;
+            m_openSlots += openSlots(rated, 0);
             m_engines.push_back(std::move(rated));
         }
     }
@@ -161,7 +169,37 @@
     {
         const double target = std::max(m_dueInMs, 1.0);
         return m_work.worth
-            * (m_policy.lateLoss * lateness(firstMs) + m_policy.delayCost * std::min(firstMs / target, 10.0));
+            * (m_policy.lateLoss * lateness(firstMs) + (1 - m_policy.lateLoss) * abandonment(firstMs)
+               + m_policy.delayCost * std::min(firstMs / target, 10.0));
+    }
+
+    double abandonment(double firstMs) const
+    {
+        return m_abandonedInMs <= 0
+            ? 1
+            : missed(firstMs / m_abandonedInMs, m_policy.firstSafe, m_policy.firstMissed);
+    }
+
+    /// Slots for tight streams at an engine that starts them soon, after this much more reading.
+    double openSlots(const Rated &rated, double readMs) const
+    {
+        if (rated.passMs + rated.load.backlogMs + readMs > m_policy.tightStartMs) {
+            return 0;
+        }
+        const double slots = static_cast<double>(m_cost.slots) * m_policy.slotShare;
+        return std::max(slots - static_cast<double>(rated.load.requests), 0.0);
+    }
+
+    /// What tight streams lose that arrive while the parts are read and find no engine free of reading.
+    double crowding(const Rated &first, const std::vector<const Rated *> &helpers, double partMs) const
+    {
+        double open = m_openSlots - openSlots(first, 0) + openSlots(first, partMs * first.candidate->pace);
+        for (const auto *helper : helpers) {
+            open += openSlots(*helper, partMs * helper->candidate->pace) - openSlots(*helper, 0);
+        }
+        const double needed = m_demand.tightRate * (partMs + m_policy.tightStartMs) / MsPerSecond;
+        const auto lost = [needed](double slots) { return std::max(needed - slots, 0.0); };
+        return (lost(open) - lost(m_openSlots)) * m_policy.tightWorth * m_policy.lateLoss;
     }
 
     double lateness(double firstMs) const
@@ -230,6 +268,7 @@
         if (choice.helpers.size() + 1 < parts || !planTickets(first, chosen, choice)) {
             return;
         }
+        choice.damage += crowding(first, chosen, partMs);
         const double firstMs = finishMs + first.passMs;
         const bool tight = m_work.eventGap < m_policy.tightGap;
         double loss = choice.damage + ownLoss(firstMs);
@@ -241,6 +280,7 @@
         if (!result || loss < result->loss) {
             choice.loss = loss;
             choice.late = lateness(firstMs);
+            choice.abandoned = abandonment(firstMs);
             choice.backlogMs = m_backlogMs / static_cast<double>(m_engines.size());
             choice.predictedFirst = fromMilliseconds(firstMs);
             result = std::move(choice);
@@ -249,12 +289,15 @@
 
     const PromptWork &m_work;
     const EngineCost &m_cost;
+    const EngineDemand &m_demand;
     const EnginePolicy &m_policy;
     double m_dueInMs;
+    double m_abandonedInMs;
     double m_wholeMs;
     /// Reading in one pass at most.
     double m_passReadMs;
     double m_backlogMs = 0;
+    double m_openSlots = 0;
     std::vector<Rated> m_engines;
 };
 
@@ -276,29 +319,36 @@
                                           const EngineCost &cost,
                                           const std::vector<EngineCandidate> &engines,
                                           const WorkLedger::ByBackend &inFlight,
+                                          const EngineDemand &demand,
                                           const EnginePolicy &policy,
                                           Instant now)
 {
-    Chooser chooser(work, cost, policy, now);
+    Chooser chooser(work, cost, demand, policy, now);
     chooser.rate(engines, inFlight, now);
     return chooser.best();
 }
 
-bool betterHeld(const PromptWork &work,
-                const EngineCost &cost,
-                const EngineChoice &choice,
-                std::size_t engines,
-                double readingRate,
-                const EnginePolicy &policy)
+double readingPrice(const PromptWork &work,
+                    const EngineCost &cost,
+                    const EngineChoice &choice,
+                    std::size_t engines,
+                    const EngineDemand &demand,
+                    const EnginePolicy &policy)
 {
-    constexpr double MsPerSecond = 1000;
-    const double busy = readingRate / std::max(static_cast<double>(engines), 1.0)
-        + policy.busyPerBacklog * choice.backlogMs / MsPerSecond;
-    const double share = std::clamp((busy - policy.busyFrom) / (policy.busyTo - policy.busyFrom), 0.0, 1.0);
+    const double count = std::max(static_cast<double>(engines), 1.0);
     const double seconds = readingMs(cost, static_cast<double>(work.promptTokens)) / MsPerSecond;
+    const double backlog = choice.backlogMs / MsPerSecond + seconds / count;
+    const double busy = demand.readingRate / count + policy.busyPerBacklog * backlog;
+    const double share = std::clamp((busy - policy.busyFrom) / (policy.busyTo - policy.busyFrom), 0.0, 1.0);
+    return policy.readingPrice * share * seconds;
+}
+
+bool betterHeld(const PromptWork &work, const EngineChoice &choice, double price, const EnginePolicy &policy)
+{
     const double lateWorth = 1 - policy.lateLoss;
-    const double gain = work.worth * (lateWorth * (1 - policy.heldChance) + policy.lateLoss * (1 - choice.late));
-    return gain - choice.damage < policy.readingPrice * share * seconds;
+    const double held = lateWorth * policy.heldChance;
+    const double gain = work.worth * (lateWorth * (1 - choice.abandoned) + policy.lateLoss * (1 - choice.late) - held);
+    return gain - choice.damage < price;
 }
 
 EngineLoad engineLoad(const std::vector<WorkLedger::Placed> &placed,
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -35,6 +35,14 @@
     return work.sequence * AttemptsPerCall + attempt % AttemptsPerCall;
 }
 
+/// A number from 0 to 1 that differs between calls and stays the same for one.
+double fairDraw(const CallWork &work)
+{
+    constexpr std::uint64_t Golden = 0x9E3779B97F4A7C15;
+    constexpr double Range = 18446744073709551616.0;
+    return static_cast<double>(work.sequence * Golden) / Range;
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &text)
 {
     return std::ranges::find(list, text) != list.end();
@@ -93,15 +101,8 @@
         note.reason = "no engine has a free slot and memory";
         return waitOrRefuse(work, now, note);
     }
-    if (hold(work, cost, *choice, now)) {
-        note.reason = "reading it would delay prompts that are worth more";
-        const auto last = lastStart(work, *choice);
-        if (now < last) {
-            return WaitUntil{std::min(now + m_policy.waitStep, last)};
-        }
-        if (choice->damage > worthOf(work) * (1 - m_policy.engines.lateLoss)) {
-            return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
-        }
+    if (auto decision = holdOrRefuse(work, cost, *choice, now, note)) {
+        return *decision;
     }
     if (!choice->tickets.empty()) {
         return pomeloport::NeedsGroup{work.service, memoryTokens(work)};
@@ -130,7 +131,7 @@
         }
     }
     note.candidates = candidates.size();
-    auto choice = chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), m_policy.engines, now);
+    auto choice = chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), demand(now), m_policy.engines, now);
     if (choice) {
         note.predictedFirst = choice->predictedFirst;
         note.loss = choice->loss;
@@ -139,16 +140,54 @@
     return choice;
 }
 
-bool EntryPlacement::hold(const CallWork &work, const EngineCost &cost, const EngineChoice &choice, Instant now) const
+/// Holds or refuses a prompt whose reading costs others more than it gains; nothing when it is to be placed.
+std::optional<RouteDecision> EntryPlacement::holdOrRefuse(const CallWork &work,
+                                                          const EngineCost &cost,
+                                                          const EngineChoice &choice,
+                                                          Instant now,
+                                                          ChoiceNote &note) const
+{
+    const auto found = m_services.find(work.service);
+    const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
+    const auto prompt = promptOf(work);
+    const auto &policy = m_policy.engines;
+    const double price = readingPrice(prompt, cost, choice, engines, demand(now), policy);
+    const bool isLong = readingMs(cost, static_cast<double>(work.promptTokens)) >= policy.heldReadingMs;
+    const double left = prompt.worth
+        * ((1 - policy.lateLoss) * (1 - choice.abandoned) + policy.lateLoss * (1 - choice.late));
+    note.price = price;
+    if (isLong) {
+        if (!betterHeld(prompt, choice, price, policy)) {
+            return std::nullopt;
+        }
+        note.reason = "reading it would delay prompts that are worth more";
+        if (now < lastStart(work, cost)) {
+            return WaitUntil{now + m_policy.waitStep};
+        }
+    }
+    const bool worthwhile = choice.damage + (isLong ? price : 0) < left;
+    if (worthwhile || (isLong && choice.abandoned < 1 && fairDraw(work) < m_policy.fairShare)) {
+        return std::nullopt;
+    }
+    note.reason = "its answer would come too late for what it costs others";
+    return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
+}
+
+/// When a held prompt must start to be answered at all, read by a part of the engines.
+Instant EntryPlacement::lastStart(const CallWork &work, const EngineCost &cost) const
 {
     const auto found = m_services.find(work.service);
     const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
-    return betterHeld(promptOf(work), cost, choice, engines, m_ledger.readingRate(now), m_policy.engines);
+    const double readers = std::clamp(static_cast<double>(engines) * m_policy.heldReaders,
+                                      1.0,
+                                      static_cast<double>(m_policy.engines.maximumHelpers));
+    const double readMs = readingMs(cost, static_cast<double>(work.promptTokens)) / readers;
+    return work.abandoned - pomeloport::fromSeconds(readMs / 1000) - m_policy.heldMargin;
 }
 
-Instant EntryPlacement::lastStart(const CallWork &work, const EngineChoice &choice) const
+EngineDemand EntryPlacement::demand(Instant now) const
 {
-    return work.abandoned - choice.predictedFirst - m_policy.heldMargin;
+    return {m_ledger.readingRate(now), m_ledger.tightRate(m_policy.engines.tightGap, now)};
 }
 
 PromptWork EntryPlacement::promptOf(const CallWork &work) const
@@ -157,7 +196,7 @@
             work.answerTokens,
             work.eventGap,
             work.arrival + work.target,
-            work.deadline,
+            work.abandoned,
             worthOf(work)};
 }
 
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -39,6 +39,7 @@
     readShare(reader, "busy_to", policy.busyTo);
     readShare(reader, "busy_per_backlog", policy.busyPerBacklog);
     readShare(reader, "held_chance", policy.heldChance);
+    readShare(reader, "tight_worth", policy.tightWorth);
     readShare(reader, "ticket_cost", policy.ticketCost);
     policy.maximumHelpers = reader.number("maximum_helpers", policy.maximumHelpers, 0, MostHelpers);
     readShare(reader, "slot_share", policy.slotShare);
@@ -63,6 +64,8 @@
     readShare(*reader, "longest_wait", policy.longestWait);
     readShare(*reader, "patience_factor", policy.patienceFactor);
     readTime(*reader, "least_patience", policy.leastPatience);
+    readShare(*reader, "fair_share", policy.fairShare);
+    readShare(*reader, "held_readers", policy.heldReaders);
     readShare(*reader, "worth_power", policy.worthPower);
     reader->finish();
     return errors.empty() ? std::optional(policy) : std::nullopt;
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -192,20 +192,41 @@
     return pieces;
 }
 
+/// What is left of sums that were brought up to date at the last arrival.
+double WorkLedger::decay(Instant now) const
+{
+    const double elapsed = std::max(0.0, pomeloport::seconds(now - m_arrivedAt));
+    return std::exp(-elapsed / pomeloport::seconds(RateTime));
+}
+
 void WorkLedger::noteArrival(const WorkItem &item, Instant now)
 {
-    m_arrivedMs = readingRate(now) * static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond;
+    const double kept = decay(now);
+    m_arrivedMs *= kept;
+    for (auto &[bound, count] : m_streams) {
+        count *= kept;
+    }
     m_arrivedAt = std::max(m_arrivedAt, now);
     for (const auto &part : item.parts) {
         m_arrivedMs += part.readMs;
     }
+    if (item.eventGap > Duration::zero()) {
+        m_streams[item.eventGap] += 1;
+    }
 }
 
 double WorkLedger::readingRate(Instant now) const
 {
-    const double elapsed = std::max(0.0, pomeloport::seconds(now - m_arrivedAt));
-    const double kept = std::exp(-elapsed / pomeloport::seconds(RateTime));
-    return m_arrivedMs * kept / (static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond);
+    return m_arrivedMs * decay(now) / (static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond);
+}
+
+double WorkLedger::tightRate(Duration bound, Instant now) const
+{
+    double count = 0;
+    for (const auto &[gap, streams] : m_streams) {
+        count += gap < bound ? streams : 0;
+    }
+    return count * decay(now) / pomeloport::seconds(RateTime);
 }
 
 bool WorkLedger::hasChanges() const
