Keep a silent attempt while no other one may be made

A long read stalled one engine for 1.65 s; all its streams counted as broken at once, the retry budget ran out, and 13 were cut although the engine worked.

Ruled out: the configuration change beside it; the streams were cut by the stall timer.

Change: FlowLimits::keepSilentAttempt: a stall ends an attempt only when another one is left and permitted.

--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -294,6 +294,8 @@
     /// Whether a non-idempotent request needs a key and a claim in the store. Off where each resend of a caller counts
     /// as a new request, so that the one process that holds it knows all of its attempts.
     bool claims = true;
+    /// Whether a silent attempt goes on while no other one may be made, since its backend server may only be slow.
+    bool keepSilentAttempt = false;
 };
 
 /// Asks the retry budget for one more attempt.
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -1,6 +1,7 @@
 #include "flowcontext.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomeloport::detail
 {
@@ -202,6 +203,21 @@
     retry(false);
 }
 
+void FlowContext::attemptStalled()
+{
+    if (m_limits.keepSilentAttempt) {
+        const bool another = !m_spec.nonIdempotent && m_countedAttempts < m_limits.maximumAttempts
+            && (m_spec.deterministic || m_answer.next() == 0);
+        if (!another || !m_permit(m_now)) {
+            m_sentAt = m_now;
+            m_stallAt = m_now + m_limits.stallTimeout;
+            return;
+        }
+        m_retryPermitted = true;
+    }
+    attemptBroken();
+}
+
 void FlowContext::cancelSettled(bool neverRan)
 {
     m_mayHaveRun = m_mayHaveRun || !neverRan;
@@ -263,7 +279,7 @@
         choose();
         return;
     }
-    if (!m_permit(m_now)) {
+    if (!std::exchange(m_retryPermitted, false) && !m_permit(m_now)) {
         fail({Verdict::NotRun, ReasonCode::Overloaded, "the retry budget is spent", RetryAfter});
         return;
     }
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -66,6 +66,7 @@
     void chunkArrived(const event::ChunkArrived &chunk);
     void attemptEnded(const event::AttemptEnded &ended);
     void attemptBroken();
+    void attemptStalled();
     void cancelSettled(bool neverRan);
     void claimReleased(bool held);
     void outcomeRecorded();
@@ -145,6 +146,8 @@
     bool m_open = false;
     bool m_sent = false;
     bool m_chunkSeen = false;
+    /// The next retry has been taken from the budget.
+    bool m_retryPermitted = false;
 
     bool m_claimPossible = false;
     bool m_mayHaveRun = false;
--- /dev/null
+++ b/src/libpomeloport/coordination/relayflow_test.cpp
@@ -0,0 +1,161 @@
+#include "pomeloport/coordination/requestflow.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace pomeloport;
+using namespace std::chrono_literals;
+
+/// The lifecycle of relayed calls: no claims, answers without digest, and silence that may only be a slow server.
+namespace
+{
+
+constexpr auto Start = Instant(1h);
+
+RequestSpec relayedSpec(bool nonIdempotent)
+{
+    RequestSpec spec;
+    spec.arrival = Start;
+    spec.deadline = Start + 10s;
+    spec.nonIdempotent = nonIdempotent;
+    return spec;
+}
+
+FlowLimits relayLimits()
+{
+    FlowLimits limits;
+    limits.claims = false;
+    limits.keepSilentAttempt = true;
+    limits.maximumAttempts = 2;
+    limits.stallTimeout = 2s;
+    return limits;
+}
+
+class Relay
+{
+public:
+    explicit Relay(RequestSpec spec, Duration patience = 1s)
+        : m_flow(
+            std::move(spec),
+            {{"r1", 1}, 1, 0},
+            relayLimits(),
+            [patience](const RouteQuery &, Instant) {
+                Route route{{{"e1", 0, 0}}, EnginePriority::Normal, 0};
+                route.patience = patience;
+                return RouteDecision(route);
+            },
+            [this](Instant) {
+                ++asked;
+                return permitted;
+            },
+            7)
+    {
+    }
+
+    void send(const FlowEvent &event, Duration since = 0s)
+    {
+        last = m_flow.handle(event, Start + since);
+    }
+
+    template<typename Action>
+    const Action *find() const
+    {
+        for (const auto &action : last) {
+            if (const auto *wanted = std::get_if<Action>(&action)) {
+                return wanted;
+            }
+        }
+        return nullptr;
+    }
+
+    bool permitted = true;
+    int asked = 0;
+    std::vector<FlowAction> last;
+
+private:
+    RequestFlow m_flow;
+};
+
+} // namespace
+
+TEST_CASE("a relayed non-idempotent call is sent without a claim and never twice", "[relayflow]")
+{
+    Relay relay(relayedSpec(true));
+    relay.send(event::Begin{});
+    REQUIRE(relay.find<action::OpenAttempt>());
+    REQUIRE_FALSE(relay.find<action::AcquireClaim>());
+    relay.send(event::AttemptSending{1});
+    relay.send(event::AttemptBroken{1}, 1s);
+    REQUIRE(relay.find<action::CancelAttempt>());
+    relay.send(event::CancelSettled{1, false, false}, 1s);
+    const auto *failure = relay.find<action::DeliverFailure>();
+    REQUIRE(failure);
+    CHECK(failure->failure.verdict == Verdict::MayHaveRun);
+    CHECK_FALSE(relay.find<action::OpenAttempt>());
+}
+
+TEST_CASE("an answer without a digest is whole by its count", "[relayflow]")
+{
+    Relay relay(relayedSpec(false));
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::ChunkArrived{1, 0, "text"}, 1s);
+    relay.send(event::AttemptEnded{1, 1, std::nullopt}, 1s);
+    CHECK(relay.find<action::DeliverEnd>());
+    CHECK(relay.find<action::Close>());
+}
+
+// Seen in a hunt: a pass of 1.7 s at one engine, and 13 streams that were cut because the budget had no retry left.
+TEST_CASE("a stalled stream goes on while no retry is left", "[relayflow]")
+{
+    Relay relay(relayedSpec(false));
+    relay.permitted = false;
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::ChunkArrived{1, 0, "a"}, 1s);
+    relay.send(event::TimerFired{}, 3s);
+    CHECK(relay.asked == 1);
+    CHECK_FALSE(relay.find<action::CloseAttempt>());
+    CHECK_FALSE(relay.find<action::DeliverFailure>());
+    relay.send(event::ChunkArrived{1, 1, "b"}, 4s);
+    CHECK(relay.find<action::DeliverChunk>());
+}
+
+TEST_CASE("a stalled stream moves once when a retry is left", "[relayflow]")
+{
+    Relay relay(relayedSpec(false));
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::ChunkArrived{1, 0, "a"}, 1s);
+    relay.send(event::TimerFired{}, 3s);
+    CHECK(relay.find<action::CloseAttempt>());
+    relay.send(event::TimerFired{}, 4s);
+    const auto *attempt = relay.find<action::OpenAttempt>();
+    REQUIRE(attempt);
+    CHECK(attempt->resumeFrom == 1);
+    CHECK(relay.asked == 1);
+    relay.send(event::AttemptSending{2}, 4s);
+    relay.send(event::ChunkArrived{2, 1, "b"}, 4s);
+    relay.send(event::TimerFired{}, 7s);
+    CHECK_FALSE(relay.find<action::CloseAttempt>());
+}
+
+TEST_CASE("silence before the first chunk counts only while another attempt is left", "[relayflow]")
+{
+    Relay relay(relayedSpec(false));
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::TimerFired{}, 1s);
+    CHECK(relay.find<action::CloseAttempt>());
+    relay.send(event::TimerFired{}, 2s);
+    REQUIRE(relay.find<action::OpenAttempt>());
+    relay.send(event::AttemptSending{2}, 2s);
+    relay.send(event::TimerFired{}, 4s);
+    CHECK_FALSE(relay.find<action::CloseAttempt>());
+    relay.send(event::TimerFired{}, 10s);
+    const auto *failure = relay.find<action::DeliverFailure>();
+    REQUIRE(failure);
+    CHECK(failure->failure.reason == ReasonCode::DeadlinePassed);
+    CHECK(failure->failure.verdict == Verdict::MayHaveRun);
+}
--- a/src/libpomeloport/coordination/requestflow.cpp
+++ b/src/libpomeloport/coordination/requestflow.cpp
@@ -125,7 +125,7 @@
     }
     void stalled(const raised::Stalled & /*event*/)
     {
-        m_context->attemptBroken();
+        m_context->attemptStalled();
     }
     void cancelled(const event::CancelSettled &event)
     {
