Introduce instances to each other at once, and order engines unlike on each

Ruled out: missing configuration; it was listed 8 ms after the start.

Change: a new address or a changed peer gets the whole list at once; the order of equal engines depends on the instance.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -87,7 +87,9 @@
 class EntryPlacement
 {
 public:
-    explicit EntryPlacement(const EntryPolicy &policy = {});
+    /// Instances with unlike seeds prefer unlike backend servers among equals, so that they do not crowd one while they
+    /// have not heard of each other.
+    explicit EntryPlacement(const EntryPolicy &policy = {}, std::uint64_t seed = 0);
 
     /// Adopts a new state of the fleet.
     void update(std::shared_ptr<const FleetState> state);
@@ -187,6 +189,7 @@
     double worthOf(const CallWork &work) const;
 
     const EntryPolicy m_policy;
+    const std::uint64_t m_seed;
     mutable std::mutex m_mutex;
     std::shared_ptr<const FleetState> m_state;
     std::unordered_map<std::string, ServiceView> m_services;
--- a/src/include/pomeloentry/peertable.h
+++ b/src/include/pomeloentry/peertable.h
@@ -86,8 +86,8 @@
     /// The datagram address of this instance, which is never a peer.
     explicit PeerTable(std::string ownAddress);
 
-    /// Learns an address from settings, store or peers.
-    void learn(const std::string &address, Instant now);
+    /// Learns an address from settings, store or peers. Returns whether it is new.
+    bool learn(const std::string &address, Instant now);
 
     /// Takes a datagram of a peer. Returns whether the peer is new, restarted or changed its state.
     bool take(const pomeloport::OwnerId &sender, const std::string &address, const PeerMessage &message, Instant now);
--- a/src/libpomeloentry/entrycore.h
+++ b/src/libpomeloentry/entrycore.h
@@ -13,7 +13,9 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
+#include <string>
 
 /// What the parts of one entry process share. Members are safe from any thread.
 namespace pomeloentry
@@ -32,7 +34,7 @@
         , settings(std::move(entrySettings))
         , self{settings.instance, incarnation}
         , fleet(std::make_shared<const FleetState>())
-        , placement(policyOf(settings))
+        , placement(policyOf(settings), std::hash<std::string>{}(settings.instance))
         , client(ioContext)
         , metrics(MaximumOrganisations)
     {
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -29,6 +29,8 @@
 constexpr std::chrono::milliseconds RetryAfterNoPlace{300};
 /// Attempts of one request are numbered below this in the keys of work items.
 constexpr std::uint64_t AttemptsPerCall = 256;
+/// An odd number without pattern, which spreads keys over all orders.
+constexpr std::uint64_t OrderFactor = 0x9E3779B97F4A7C15;
 
 std::uint64_t itemKey(const CallWork &work, std::uint32_t attempt)
 {
@@ -38,9 +40,8 @@
 /// A number from 0 to 1 that differs between calls and stays the same for one.
 double fairDraw(const CallWork &work)
 {
-    constexpr std::uint64_t Golden = 0x9E3779B97F4A7C15;
     constexpr double Range = 18446744073709551616.0;
-    return static_cast<double>(work.sequence * Golden) / Range;
+    return static_cast<double>(work.sequence * OrderFactor) / Range;
 }
 
 bool contains(const std::vector<std::string> &list, const std::string &text)
@@ -55,8 +56,9 @@
     return work.promptTokens + work.answerTokens;
 }
 
-EntryPlacement::EntryPlacement(const EntryPolicy &policy)
+EntryPlacement::EntryPlacement(const EntryPolicy &policy, std::uint64_t seed)
     : m_policy(policy)
+    , m_seed(seed)
     , m_state(std::make_shared<FleetState>())
     , m_retries(policy.retries)
 {
@@ -74,7 +76,14 @@
         health.emplace(key, known != m_health.end() ? known->second : Health{pomeloport::CircuitBreaker(m_policy.breaker)});
         auto &service = m_services[backend.service];
         service.backends.push_back(&backend);
-        service.keys.push_back(key);
+    }
+    for (auto &[name, service] : m_services) {
+        std::ranges::sort(service.backends, {}, [this](const BackendEntry *backend) {
+            return (m_seed ^ backendKey(*backend)) * OrderFactor;
+        });
+        for (const auto *backend : service.backends) {
+            service.keys.push_back(backendKey(*backend));
+        }
     }
     m_health = std::move(health);
 }
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -62,8 +62,24 @@
 
 void PeerMesh::learn(const std::string &address)
 {
-    const std::lock_guard lock(m_mutex);
-    m_peers.learn(address, steadyNow());
+    bool fresh = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        fresh = m_peers.learn(address, steadyNow());
+    }
+    if (fresh && m_socket) {
+        introduce(address);
+    }
+}
+
+/// Sends this instance's work and state to one other at once, so that neither decides long without the other.
+void PeerMesh::introduce(const std::string &address)
+{
+    for (auto &piece : m_core->placement.wholeList(steadyNow())) {
+        auto telling = message();
+        telling.work = std::move(piece);
+        m_socket->send(address, detail::encodeCompact(telling));
+    }
 }
 
 void PeerMesh::setKnown(const KnownChanges &known, bool configured)
@@ -131,6 +147,7 @@
         changed = m_peers.take(sender, address, *message, now);
     }
     if (changed) {
+        introduce(address);
         logEvent(LogLevel::Info,
                  "peer",
                  {{"peer", sender.instance},
--- a/src/libpomeloentry/peermesh.h
+++ b/src/libpomeloentry/peermesh.h
@@ -48,6 +48,7 @@
 private:
     explicit PeerMesh(std::shared_ptr<EntryCore> core);
     void received(const pomeloport::OwnerId &sender, const std::string &address, const std::string &payload);
+    void introduce(const std::string &address);
     void armHeartbeat();
     void armChanges();
     void sendChanges();
--- a/src/libpomeloentry/peertable.cpp
+++ b/src/libpomeloentry/peertable.cpp
@@ -10,11 +10,9 @@
 {
 }
 
-void PeerTable::learn(const std::string &address, Instant now)
+bool PeerTable::learn(const std::string &address, Instant now)
 {
-    if (address != m_own && !address.empty()) {
-        m_addresses.try_emplace(address, now);
-    }
+    return address != m_own && !address.empty() && m_addresses.try_emplace(address, now).second;
 }
 
 bool PeerTable::take(const pomeloport::OwnerId &sender,
