Continue a stream behind the last event delivered

Events arrived in the moment in which the patience with their attempt ended; the flow dropped the chunks, but the session had moved on, and the next attempt began behind them.

Change: StreamPosition moves when a chunk is delivered. Test: eventsplitter_test.cpp (fails with the old order).

--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -97,7 +97,7 @@
           [this](Instant now) { return m_core->placement.permitRetry(now); },
           m_call.work.sequence)
     , m_series(m_core->metrics.series(m_call.organisation, promptClass(m_call.work.promptTokens)))
-    , m_lastEvent(m_call.request.lastEvent)
+    , m_position(m_call.request.lastEvent)
     , m_groupTimer(m_executor)
 {
     ++m_core->openCalls;
@@ -197,7 +197,7 @@
     call.organisation = m_call.organisation;
     call.priority = m_call.priority;
     call.timeLeft = timeLeft();
-    call.lastEvent = m_lastEvent;
+    call.lastEvent = m_position.last();
     for (const auto &helper : action.route.helpers) {
         const auto known = fleet->backends.find(helper.backend);
         if (known != fleet->backends.end()) {
@@ -346,6 +346,7 @@
         m_series->recordTokenGap(now - m_lastEventAt);
     }
     m_lastEventAt = now;
+    m_position.delivered(m_arriving);
     if (!streaming()) {
         m_headSent = true;
         m_exchange->reply({m_attempt.head.status, m_attempt.head.reason, endToEndFields(m_attempt.head.fields)},
@@ -533,20 +534,16 @@
         if (!std::exchange(m_attempt.answered, true)) {
             m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
         }
-        if (next.id && m_lastEvent) {
-            if (*next.id <= *m_lastEvent) {
-                continue;
-            }
-            if (*next.id > *m_lastEvent + 1) {
-                broken("an event is missing");
-                return;
-            }
-        }
-        if (!next.id && m_lastEvent && m_attempts > 1) {
-            broken("events without identity cannot be resumed");
+        const auto step = m_position.step(next, m_attempts);
+        if (step == StreamPosition::Step::Break) {
+            broken("an event is missing");
             return;
         }
-        m_lastEvent = next.id ? next.id : m_lastEvent;
+        if (step == StreamPosition::Step::Skip) {
+            continue;
+        }
+        // The flow may drop the chunk, because the attempt has just been given up.
+        m_arriving = next.id;
         feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(next.bytes)});
     }
 }
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -117,7 +117,9 @@
     /// A failure that a backend server answered; told to the caller when nothing better comes.
     std::optional<pomeloport::HttpAnswerHead> m_failureHead;
     std::string m_failureBody;
-    std::optional<std::uint64_t> m_lastEvent;
+    StreamPosition m_position;
+    /// The event whose chunk the flow is about to deliver or to drop.
+    std::optional<std::uint64_t> m_arriving;
     std::deque<pomeloport::FlowEvent> m_events;
     /// Memory at several engines for the present attempt, and the route that it is for.
     std::shared_ptr<TicketHolder> m_tickets;
--- a/src/libpomeloentry/eventsplitter.cpp
+++ b/src/libpomeloentry/eventsplitter.cpp
@@ -45,6 +45,32 @@
 
 } // namespace
 
+StreamPosition::StreamPosition(std::optional<std::uint64_t> last)
+    : m_last(last)
+{
+}
+
+StreamPosition::Step StreamPosition::step(const StreamEvent &event, std::uint32_t attempt) const
+{
+    if (!event.id) {
+        return attempt > 1 && m_last ? Step::Break : Step::Deliver;
+    }
+    if (!m_last || *event.id == *m_last + 1) {
+        return Step::Deliver;
+    }
+    return *event.id <= *m_last ? Step::Skip : Step::Break;
+}
+
+void StreamPosition::delivered(std::optional<std::uint64_t> id)
+{
+    m_last = id ? id : m_last;
+}
+
+std::optional<std::uint64_t> StreamPosition::last() const
+{
+    return m_last;
+}
+
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
 {
     m_rest += bytes;
--- /dev/null
+++ b/src/libpomeloentry/eventsplitter_test.cpp
@@ -0,0 +1,51 @@
+#include "eventsplitter.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloentry;
+
+TEST_CASE("events are split at blank lines, byte for byte", "[eventsplitter]")
+{
+    EventSplitter splitter;
+    CHECK(splitter.feed("id: 1\nda").empty());
+    CHECK(splitter.inEvent());
+    const auto events = splitter.feed("ta: x\n\nid:2\r\ndata: y\r\n\r\nid: 3");
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].bytes == "id: 1\ndata: x\n\n");
+    CHECK(events[0].id == 1);
+    CHECK(events[1].bytes == "id:2\r\ndata: y\r\n\r\n");
+    CHECK(events[1].id == 2);
+    CHECK(splitter.inEvent());
+}
+
+TEST_CASE("an event without a numeric id has none", "[eventsplitter]")
+{
+    EventSplitter splitter;
+    const auto events = splitter.feed("data: id: 7\n\nid: x\n\n");
+    REQUIRE(events.size() == 2);
+    CHECK_FALSE(events[0].id);
+    CHECK_FALSE(events[1].id);
+}
+
+// Seen on clipback scale-2, --seed 11: events came in the moment in which their attempt was given up. They were counted
+// as delivered, the next attempt went on behind them, and the caller got a stream with a hole (ORDER).
+TEST_CASE("a stream goes on behind the last event that was delivered, not the last that arrived", "[eventsplitter]")
+{
+    StreamPosition position(std::nullopt);
+    CHECK(position.step({"", 1}, 1) == StreamPosition::Step::Deliver);
+    CHECK_FALSE(position.last());
+    CHECK(position.step({"", 1}, 2) == StreamPosition::Step::Deliver);
+    position.delivered(1);
+    CHECK(position.last() == 1);
+    CHECK(position.step({"", 1}, 2) == StreamPosition::Step::Skip);
+    CHECK(position.step({"", 2}, 2) == StreamPosition::Step::Deliver);
+    CHECK(position.step({"", 3}, 2) == StreamPosition::Step::Break);
+}
+
+TEST_CASE("events without identity cannot continue a stream", "[eventsplitter]")
+{
+    StreamPosition position(std::nullopt);
+    CHECK(position.step({"", std::nullopt}, 1) == StreamPosition::Step::Deliver);
+    position.delivered(4);
+    CHECK(position.step({"", std::nullopt}, 2) == StreamPosition::Step::Break);
+}
