Reserve starts for tight streams, and correct rates after a start

Change: WorkLedger divides by the time over which it summed; crowding() counts how many tight streams engines can start, with a reserve for swings; calls that were sent before are not refused for their worth.

--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -111,6 +111,12 @@
     /// Time to the first event that tight streams are kept room for, in milliseconds, and the worth of one of them.
     double tightStartMs = 200;
     double tightWorth = 1;
+    /// Reading time of such a stream's prompt, in milliseconds, and the share of an engine's time that it is given to
+    /// start them.
+    double tightReadMs = 40;
+    double tightStartShare = 0.5;
+    /// How much more of them may come than lately: demand swings by this factor within seconds.
+    double tightReserve = 2;
     /// Chance that a prompt that is held is served late.
     double heldChance = 0.8;
     /// Prompts whose reading takes less are never held, in milliseconds.
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -149,11 +149,13 @@
     };
 
     double decay(Instant now) const;
+    Duration rateSpan(Instant now) const;
     void noteArrival(const WorkItem &item, Instant now);
 
     /// Sum of arrived reading work that decays over RateTime, and when it was last brought up to date.
     double m_arrivedMs = 0;
     Instant m_arrivedAt{};
+    Instant m_firstArrival{};
     /// The same for the number of streams, by their bound on pauses.
     std::map<Duration, double> m_streams;
     std::map<std::uint64_t, WorkItem> m_own;
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -82,7 +82,6 @@
             const auto memory = static_cast<double>(m_cost.memoryTokens) * m_policy.memoryShare;
             rated.freeTokens = memory - static_cast<double>(rated.load.memoryTokens);
             m_backlogMs += rated.load.backlogMs;
-            m_openSlots += openSlots(rated, 0);
             m_engines.push_back(std::move(rated));
         }
     }
@@ -180,26 +179,35 @@
             : missed(firstMs / m_abandonedInMs, m_policy.firstSafe, m_policy.firstMissed);
     }
 
-    /// Slots for tight streams at an engine that starts them soon, after this much more reading.
-    double openSlots(const Rated &rated, double readMs) const
+    /// Tight streams that an engine can start within this time, after this much more reading.
+    double startable(const Rated &rated, double readMs, double withinMs) const
     {
         if (rated.passMs + rated.load.backlogMs + readMs > m_policy.tightStartMs) {
             return 0;
         }
         const double slots = static_cast<double>(m_cost.slots) * m_policy.slotShare;
-        return std::max(slots - static_cast<double>(rated.load.requests), 0.0);
+        const double freeSlots = std::max(slots - static_cast<double>(rated.load.requests), 0.0);
+        return std::min(freeSlots, withinMs * m_policy.tightStartShare / m_policy.tightReadMs);
     }
 
     /// What tight streams lose that arrive while the parts are read and find no engine free of reading.
     double crowding(const Rated &first, const std::vector<const Rated *> &helpers, double partMs) const
     {
-        double open = m_openSlots - openSlots(first, 0) + openSlots(first, partMs * first.candidate->pace);
+        const double withinMs = partMs + m_policy.tightStartMs;
+        double before = 0;
+        for (const auto &rated : m_engines) {
+            before += startable(rated, 0, withinMs);
+        }
+        const auto change = [&](const Rated &rated) {
+            return startable(rated, partMs * rated.candidate->pace, withinMs) - startable(rated, 0, withinMs);
+        };
+        double after = before + change(first);
         for (const auto *helper : helpers) {
-            open += openSlots(*helper, partMs * helper->candidate->pace) - openSlots(*helper, 0);
+            after += change(*helper);
         }
-        const double needed = m_demand.tightRate * (partMs + m_policy.tightStartMs) / MsPerSecond;
-        const auto lost = [needed](double slots) { return std::max(needed - slots, 0.0); };
-        return (lost(open) - lost(m_openSlots)) * m_policy.tightWorth * m_policy.lateLoss;
+        const double needed = m_demand.tightRate * m_policy.tightReserve * withinMs / MsPerSecond;
+        const auto lost = [needed](double places) { return std::max(needed - places, 0.0); };
+        return (lost(after) - lost(before)) * m_policy.tightWorth * m_policy.lateLoss;
     }
 
     double lateness(double firstMs) const
@@ -297,7 +305,6 @@
     /// Reading in one pass at most.
     double m_passReadMs;
     double m_backlogMs = 0;
-    double m_openSlots = 0;
     std::vector<Rated> m_engines;
 };
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -110,7 +110,9 @@
         note.reason = "no engine has a free slot and memory";
         return waitOrRefuse(work, now, note);
     }
-    if (auto decision = holdOrRefuse(work, cost, *choice, now, note)) {
+    // A call that was sent before is not refused for its worth: its answer may be half told.
+    auto decision = query.attempt > 1 ? std::nullopt : holdOrRefuse(work, cost, *choice, now, note);
+    if (decision) {
         return *decision;
     }
     if (!choice->tickets.empty()) {
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -40,6 +40,7 @@
     readShare(reader, "busy_per_backlog", policy.busyPerBacklog);
     readShare(reader, "held_chance", policy.heldChance);
     readShare(reader, "tight_worth", policy.tightWorth);
+    readShare(reader, "tight_reserve", policy.tightReserve);
     readShare(reader, "ticket_cost", policy.ticketCost);
     policy.maximumHelpers = reader.number("maximum_helpers", policy.maximumHelpers, 0, MostHelpers);
     readShare(reader, "slot_share", policy.slotShare);
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -12,7 +12,7 @@
 
 /// Items in one report, so that it fits a datagram.
 constexpr std::size_t ItemsPerPiece = 16;
-constexpr double MicrosecondsPerMillisecond = 1000;
+constexpr double MillisecondsPerSecond = 1000;
 
 template<typename Number>
 Number milliseconds(Duration duration)
@@ -201,6 +201,7 @@
 
 void WorkLedger::noteArrival(const WorkItem &item, Instant now)
 {
+    m_firstArrival = m_firstArrival == Instant{} ? now : m_firstArrival;
     const double kept = decay(now);
     m_arrivedMs *= kept;
     for (auto &[bound, count] : m_streams) {
@@ -215,9 +216,18 @@
     }
 }
 
+/// The time over which arrivals were summed up: shorter than RateTime after a start.
+Duration WorkLedger::rateSpan(Instant now) const
+{
+    constexpr Duration Shortest = std::chrono::milliseconds(200);
+    const double age = pomeloport::seconds(std::max(Duration(now - m_firstArrival), Shortest));
+    const double time = pomeloport::seconds(RateTime);
+    return pomeloport::fromSeconds(time * (1 - std::exp(-age / time)));
+}
+
 double WorkLedger::readingRate(Instant now) const
 {
-    return m_arrivedMs * decay(now) / (static_cast<double>(RateTime.count()) / MicrosecondsPerMillisecond);
+    return m_arrivedMs * decay(now) / (pomeloport::seconds(rateSpan(now)) * MillisecondsPerSecond);
 }
 
 double WorkLedger::tightRate(Duration bound, Instant now) const
@@ -226,7 +236,7 @@
     for (const auto &[gap, streams] : m_streams) {
         count += gap < bound ? streams : 0;
     }
-    return count * decay(now) / pomeloport::seconds(RateTime);
+    return count * decay(now) / pomeloport::seconds(rateSpan(now));
 }
 
 bool WorkLedger::hasChanges() const
