--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,9 +9,9 @@
     shift
 fi
 if [ $# -gt 0 ]; then
-    mapfile -t files < <(git diff --name-only --diff-filter=d "$1" -- 'src/*.cpp' 'src/*.h')
+    mapfile -t files < <(git diff --name-only --diff-filter=d "$1" -- 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h')
 else
-    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h')
+    mapfile -t files < <(git ls-files --cached --others --exclude-standard 'src/*.cpp' 'src/*.h' 'platform/*.cpp' 'platform/*.h')
 fi
 [ ${#files[@]} -eq 0 ] && exit 0
 clang-format --dry-run -Werror "${files[@]}"
--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -95,7 +95,10 @@
     void update(std::shared_ptr<const FleetState> state);
 
     /// Chooses a place for an attempt; the members and helpers of a route are ids of backend servers.
-    pomeloport::RouteDecision choose(const CallWork &work, const pomeloport::RouteQuery &query, Instant now, ChoiceNote &note);
+    pomeloport::RouteDecision choose(const CallWork &work,
+                                     const pomeloport::RouteQuery &query,
+                                     Instant now,
+                                     ChoiceNote &note);
 
     /// Plans a place for a prompt that needs memory at several engines; nothing while there is none. The helpers of the
     /// route name no tickets yet; their tokens stand beside them.
--- a/src/include/pomeloentry/wire.h
+++ b/src/include/pomeloentry/wire.h
@@ -126,9 +126,8 @@
 
 constexpr pomeloport::NameTable<DocumentKind, 3> nameTable(DocumentKind /*unused*/)
 {
-    return {{{DocumentKind::Routing, "routing"},
-             {DocumentKind::Backends, "backends"},
-             {DocumentKind::Entries, "entries"}}};
+    return {
+        {{DocumentKind::Routing, "routing"}, {DocumentKind::Backends, "backends"}, {DocumentKind::Entries, "entries"}}};
 }
 
 /// The store's name of a kind, and the name of the routing document.
--- a/src/libpomeloentry/admission.cpp
+++ b/src/libpomeloentry/admission.cpp
@@ -78,8 +78,8 @@
     work.kind = call.route->kind;
     work.promptTokens = call.request.promptTokens;
     const auto usual = static_cast<double>(call.request.maximumAnswerTokens) * UsualAnswerShare;
-    work.answerTokens = std::min(call.request.answerHint.value_or(static_cast<std::uint64_t>(usual)),
-                                 call.request.maximumAnswerTokens);
+    work.answerTokens =
+        std::min(call.request.answerHint.value_or(static_cast<std::uint64_t>(usual)), call.request.maximumAnswerTokens);
     work.eventGap = call.route->eventGap;
     work.target = call.route->target;
     work.arrival = now;
@@ -89,8 +89,7 @@
     }
     work.deadline = now + time;
     work.abandoned = std::min(work.deadline, now + abandonTime(*call.route));
-    work.repeatable =
-        work.kind == CallKind::Idempotent || (work.kind == CallKind::Streaming && call.route->resumable);
+    work.repeatable = work.kind == CallKind::Idempotent || (work.kind == CallKind::Streaming && call.route->resumable);
     return call;
 }
 
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -71,14 +71,14 @@
 
     void rate(const std::vector<EngineCandidate> &engines, const WorkLedger::ByBackend &inFlight, Instant now)
     {
-        static const std::vector<WorkLedger::Placed> None;
+        static const std::vector<WorkLedger::Placed> none;
         for (const auto &engine : engines) {
             const auto found = inFlight.find(engine.key);
             Rated rated;
             rated.candidate = &engine;
-            rated.load = engineLoad(found == inFlight.end() ? None : found->second, m_cost, engine.pace, m_policy, now);
-            rated.passMs = passMs(m_cost, static_cast<double>(rated.load.writers.size()), rated.load.contextTokens)
-                * engine.pace;
+            rated.load = engineLoad(found == inFlight.end() ? none : found->second, m_cost, engine.pace, m_policy, now);
+            rated.passMs =
+                passMs(m_cost, static_cast<double>(rated.load.writers.size()), rated.load.contextTokens) * engine.pace;
             const auto memory = static_cast<double>(m_cost.memoryTokens) * m_policy.memoryShare;
             rated.freeTokens = memory - static_cast<double>(rated.load.memoryTokens);
             m_backlogMs += rated.load.backlogMs;
@@ -174,9 +174,7 @@
 
     double abandonment(double firstMs) const
     {
-        return m_abandonedInMs <= 0
-            ? 1
-            : missed(firstMs / m_abandonedInMs, m_policy.firstSafe, m_policy.firstMissed);
+        return m_abandonedInMs <= 0 ? 1 : missed(firstMs / m_abandonedInMs, m_policy.firstSafe, m_policy.firstMissed);
     }
 
     /// Tight streams that an engine can start within this time, after this much more reading.
@@ -206,7 +204,9 @@
             after += change(*helper);
         }
         const double needed = m_demand.tightRate * m_policy.tightReserve * withinMs / MsPerSecond;
-        const auto lost = [needed](double places) { return std::max(needed - places, 0.0); };
+        const auto lost = [needed](double places) {
+            return std::max(needed - places, 0.0);
+        };
         return (lost(after) - lost(before)) * m_policy.tightWorth * m_policy.lateLoss;
     }
 
@@ -236,9 +236,8 @@
             const double late = missed(rated->helperFinishMs / target, m_policy.firstSafe, m_policy.firstMissed);
             return rated->helperDamage + delayWeight * rated->helperFinishMs + late * m_work.worth;
         };
-        std::ranges::sort(helpers, [&price](const Rated *left, const Rated *right) {
-            return price(left) < price(right);
-        });
+        std::ranges::sort(helpers,
+                          [&price](const Rated *left, const Rated *right) { return price(left) < price(right); });
         for (const auto &first : m_engines) {
             considerFirst(first, helpers, parts, partMs, result);
         }
@@ -258,8 +257,7 @@
         choice.first = first.candidate->backend;
         choice.partMs = partMs;
         choice.damage = damage(first, partMs * pace, false) + first.candidate->risk * m_work.worth;
-        double finishMs =
-            m_policy.roundTripMs + waitForPass(first) + first.load.backlogMs + partMs * pace;
+        double finishMs = m_policy.roundTripMs + waitForPass(first) + first.load.backlogMs + partMs * pace;
         std::vector<const Rated *> chosen;
         for (const auto *helper : helpers) {
             if (choice.helpers.size() + 1 == parts) {
@@ -382,9 +380,8 @@
             load.writers.push_back({std::max(milliseconds(item.eventGap), 1.0), item.worth});
         }
     }
-    std::ranges::sort(reading, [](const auto *left, const auto *right) {
-        return left->item->startedAt < right->item->startedAt;
-    });
+    std::ranges::sort(
+        reading, [](const auto *left, const auto *right) { return left->item->startedAt < right->item->startedAt; });
     // Passes with writers take turns with reading.
     const double pass = passMs(cost, static_cast<double>(load.writers.size()), load.contextTokens) * pace;
     double clock = -1e12;
@@ -399,8 +396,7 @@
         if (entry->part > 0) {
             load.helperBacklogMs += remaining;
         } else {
-            load.readers.push_back(
-                {milliseconds(entry->item->due - now), load.backlogMs + pass, entry->item->worth});
+            load.readers.push_back({milliseconds(entry->item->due - now), load.backlogMs + pass, entry->item->worth});
         }
     }
     return load;
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -84,14 +84,12 @@
         }
         watch = std::make_shared<FleetWatch>(core, mesh);
         const auto open = [this](const std::string &address, void (Implementation::*handler)(const Exchange &)) {
-            return HttpServer::listen(core->context,
-                                      address,
-                                      {},
-                                      [weak = weak_from_this(), handler](const Exchange &exchange) {
-                                          if (const auto self = weak.lock()) {
-                                              ((*self).*handler)(exchange);
-                                          }
-                                      });
+            return HttpServer::listen(
+                core->context, address, {}, [weak = weak_from_this(), handler](const Exchange &exchange) {
+                    if (const auto self = weak.lock()) {
+                        ((*self).*handler)(exchange);
+                    }
+                });
         };
         callers = open(settings.callerAddress, &Implementation::serveCaller);
         readiness = callers ? open(settings.readinessAddress, &Implementation::serveReadiness) : nullptr;
@@ -238,8 +236,7 @@
                                     const EntrySettings &settings,
                                     std::uint64_t incarnation)
 {
-    auto implementation =
-        std::make_shared<Implementation>(std::make_shared<EntryCore>(context, settings, incarnation));
+    auto implementation = std::make_shared<Implementation>(std::make_shared<EntryCore>(context, settings, incarnation));
     if (!implementation->listen()) {
         return nullptr;
     }
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -73,7 +73,8 @@
     for (const auto &[id, backend] : m_state->backends) {
         const auto key = backendKey(backend);
         const auto known = m_health.find(key);
-        health.emplace(key, known != m_health.end() ? known->second : Health{pomeloport::CircuitBreaker(m_policy.breaker)});
+        health.emplace(key,
+                       known != m_health.end() ? known->second : Health{pomeloport::CircuitBreaker(m_policy.breaker)});
         auto &service = m_services[backend.service];
         service.backends.push_back(&backend);
     }
@@ -142,7 +143,8 @@
         }
     }
     note.candidates = candidates.size();
-    auto choice = chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), demand(now), m_policy.engines, now);
+    auto choice =
+        chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), demand(now), m_policy.engines, now);
     if (choice) {
         note.predictedFirst = choice->predictedFirst;
         note.loss = choice->loss;
@@ -164,8 +166,8 @@
     const auto &policy = m_policy.engines;
     const double price = readingPrice(prompt, cost, choice, engines, demand(now), policy);
     const bool isLong = readingMs(cost, static_cast<double>(work.promptTokens)) >= policy.heldReadingMs;
-    const double left = prompt.worth
-        * ((1 - policy.lateLoss) * (1 - choice.abandoned) + policy.lateLoss * (1 - choice.late));
+    const double left =
+        prompt.worth * ((1 - policy.lateLoss) * (1 - choice.abandoned) + policy.lateLoss * (1 - choice.late));
     note.price = price;
     if (isLong) {
         if (!betterHeld(prompt, choice, price, policy)) {
@@ -189,9 +191,8 @@
 {
     const auto found = m_services.find(work.service);
     const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
-    const double readers = std::clamp(static_cast<double>(engines) * m_policy.heldReaders,
-                                      1.0,
-                                      static_cast<double>(m_policy.engines.maximumHelpers));
+    const double readers = std::clamp(
+        static_cast<double>(engines) * m_policy.heldReaders, 1.0, static_cast<double>(m_policy.engines.maximumHelpers));
     const double readMs = readingMs(cost, static_cast<double>(work.promptTokens)) / readers;
     return work.abandoned - pomeloport::fromSeconds(readMs / 1000) - m_policy.heldMargin;
 }
@@ -203,12 +204,8 @@
 
 PromptWork EntryPlacement::promptOf(const CallWork &work) const
 {
-    return {work.promptTokens,
-            work.answerTokens,
-            work.eventGap,
-            work.arrival + work.target,
-            work.abandoned,
-            worthOf(work)};
+    return {
+        work.promptTokens, work.answerTokens, work.eventGap, work.arrival + work.target, work.abandoned, worthOf(work)};
 }
 
 Route EntryPlacement::routeOf(const CallWork &work, const EngineChoice &choice) const
@@ -265,7 +262,8 @@
         ++note.candidates;
         const double answerMs = known.answerMs > 0 ? known.answerMs : AssumedAnswerMs;
         const double queued = std::max(1.0, static_cast<double>(running + 1) / std::max(backend->slots, 1U));
-        const double score = answerMs * queued * (1 + RiskPenalty * known.risk) * (1 + 0.1 * static_cast<double>(running));
+        const double score =
+            answerMs * queued * (1 + RiskPenalty * known.risk) * (1 + 0.1 * static_cast<double>(running));
         if (!best || score < bestScore) {
             best = backend;
             bestScore = score;
@@ -311,8 +309,7 @@
     item.worth = static_cast<float>(worthOf(work));
     const auto *engine = engineOf(work.service);
     const auto parts = static_cast<double>(route.helpers.size() + 1);
-    const double readMs =
-        engine ? readingMs(*engine, static_cast<double>(work.promptTokens)) / parts : 0.0;
+    const double readMs = engine ? readingMs(*engine, static_cast<double>(work.promptTokens)) / parts : 0.0;
     const auto add = [&](const std::string &backend, std::uint64_t tokens) {
         item.parts.push_back({keyOf(backend), static_cast<float>(readMs), static_cast<std::uint32_t>(tokens)});
     };
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -106,11 +106,8 @@
 EntrySession::~EntrySession()
 {
     if (m_attempt.number > 0 && !m_attempt.closed) {
-        m_core->placement.closed(m_call.work,
-                                 m_attempt.number,
-                                 m_attempt.backend,
-                                 action::CloseAttempt::Outcome::Abandoned,
-                                 steadyNow());
+        m_core->placement.closed(
+            m_call.work, m_attempt.number, m_attempt.backend, action::CloseAttempt::Outcome::Abandoned, steadyNow());
     }
     if (m_tickets) {
         m_tickets->release();
@@ -215,15 +212,15 @@
     relayed.belongs = [id = m_call.request.attemptId](const HttpAnswerHead &head) {
         return wire::decodeAnswer(head).attemptId == id;
     };
-    m_attempt.stream = std::make_unique<CallStream>(
-        m_core->client.pool(),
-        m_executor,
-        std::move(relayed),
-        [weak = weak_from_this(), attempt = action.attempt](CallEvent event) {
-            if (const auto self = weak.lock()) {
-                self->streamEvent(attempt, std::move(event));
-            }
-        });
+    m_attempt.stream =
+        std::make_unique<CallStream>(m_core->client.pool(),
+                                     m_executor,
+                                     std::move(relayed),
+                                     [weak = weak_from_this(), attempt = action.attempt](CallEvent event) {
+                                         if (const auto self = weak.lock()) {
+                                             self->streamEvent(attempt, std::move(event));
+                                         }
+                                     });
 }
 
 void EntrySession::execute(action::ReserveGroup & /*action*/)
@@ -295,7 +292,8 @@
     const auto now = steadyNow();
     const auto span = m_call.work.deadline - m_call.work.arrival;
     if (now + PlanInterval > m_call.work.arrival + fromSeconds(seconds(span) * m_core->settings.policy.longestWait)) {
-        const Failure failure{Verdict::NotRun, ReasonCode::Overloaded, "no engines have the memory", RetryAfterNoMemory};
+        const Failure failure{
+            Verdict::NotRun, ReasonCode::Overloaded, "no engines have the memory", RetryAfterNoMemory};
         feed(event::GroupRefused{failure});
         return;
     }
--- /dev/null
+++ b/src/libpomeloentry/fleetdocuments_test.cpp
@@ -0,0 +1,65 @@
+#include "pomeloentry/fleetdocuments.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+using pomeloport::StoreObject;
+
+namespace
+{
+
+constexpr auto Now = Instant(1h);
+
+StoreObject object(const std::string &name, std::uint64_t version, bool removed = false)
+{
+    return {"servers", name, std::string("v").append(std::to_string(version)), version, removed};
+}
+
+} // namespace
+
+TEST_CASE("lists and watches keep the newest version of each document", "[fleetdocuments]")
+{
+    FleetDocuments documents;
+    CHECK(documents.replace({object("a", 3), object("b", 4)}, 5, Now, Now));
+    CHECK(documents.asOf() == 5);
+    CHECK(documents.apply({object("a", 7)}, 7, Now, Now));
+    CHECK_FALSE(documents.apply({object("a", 6)}, 7, Now, Now));
+    CHECK(documents.documents().at("a").text == "v7");
+    CHECK(documents.apply({object("b", 4, true)}, 8, Now, Now));
+    CHECK_FALSE(documents.documents().contains("b"));
+    CHECK(documents.changedAt() == 8);
+}
+
+TEST_CASE("an older list changes nothing", "[fleetdocuments]")
+{
+    FleetDocuments documents;
+    documents.replace({object("a", 3)}, 9, Now, Now);
+    CHECK_FALSE(documents.replace({}, 8, Now, Now));
+    CHECK(documents.documents().contains("a"));
+}
+
+TEST_CASE("entries that lapsed with the store stay until they had time to come back", "[fleetdocuments]")
+{
+    FleetDocuments documents;
+    documents.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    CHECK_FALSE(documents.apply({object("a", 3, true), object("b", 4, true)}, 7, Now + 2s, Now));
+    CHECK(documents.documents().size() == 2);
+    CHECK(documents.apply({object("a", 8)}, 8, Now, Now + 1s));
+    CHECK(documents.removeDue(Now + 2s));
+    CHECK(documents.documents().contains("a"));
+    CHECK_FALSE(documents.documents().contains("b"));
+}
+
+TEST_CASE("another instance's copy counts only when it knows more", "[fleetdocuments]")
+{
+    FleetDocuments behind;
+    FleetDocuments ahead;
+    behind.replace({object("a", 3)}, 5, Now, Now);
+    ahead.replace({object("a", 3)}, 5, Now, Now);
+    ahead.apply({object("a", 6)}, 6, Now, Now);
+    CHECK_FALSE(ahead.adopt(behind.copy()));
+    CHECK(behind.adopt(ahead.copy()));
+    CHECK(behind.documents().at("a").text == "v6");
+    CHECK_FALSE(behind.adopt(ahead.copy()));
+}
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -135,11 +135,10 @@
     const bool different = kind.documents.replace(kind.pages, kind.firstPageAsOf, removeAt(now), now);
     kind.pages.clear();
     kind.listed = true;
-    logEvent(LogLevel::Info,
-             "listed",
-             {{"kind", nameOf(kind.kind)},
-              {"documents", kind.documents.documents().size()},
-              {"as_of", kind.firstPageAsOf}});
+    logEvent(
+        LogLevel::Info,
+        "listed",
+        {{"kind", nameOf(kind.kind)}, {"documents", kind.documents.documents().size()}, {"as_of", kind.firstPageAsOf}});
     if (different) {
         changed(kind);
     }
@@ -294,7 +293,8 @@
     }
     {
         const std::lock_guard lock(m_copyMutex);
-        m_copy = {kind(wire::DocumentKind::Routing).documents.copy(), kind(wire::DocumentKind::Backends).documents.copy()};
+        m_copy = {kind(wire::DocumentKind::Routing).documents.copy(),
+                  kind(wire::DocumentKind::Backends).documents.copy()};
     }
     m_core->placement.update(next);
     m_core->fleet.publish(next);
@@ -410,9 +410,8 @@
             if (reply.status == StoreStatus::Conflict && !reply.objects.empty()) {
                 call.operation = StoreOperation::Update;
                 call.ifVersion = reply.objects.front().version;
-                self->m_store.call(call, [self](StoreReply updated) {
-                    self->m_registered = updated.status == StoreStatus::Ok;
-                });
+                self->m_store.call(
+                    call, [self](StoreReply updated) { self->m_registered = updated.status == StoreStatus::Ok; });
             }
             auto timer = std::make_shared<asio::steady_timer>(self->m_strand, spread(LongestRetryDelay * 2));
             timer->async_wait([self, timer](boost::system::error_code) { self->registerSelf(); });
--- a/src/libpomeloentry/peertable.cpp
+++ b/src/libpomeloentry/peertable.cpp
@@ -28,13 +28,8 @@
         return false;
     }
     const bool changed = sender.incarnation != peer.incarnation || message.state != peer.state;
-    peer = {sender.incarnation,
-            address,
-            message.callerAddress,
-            message.failureDomain,
-            message.state,
-            message.known,
-            now};
+    peer = {
+        sender.incarnation, address, message.callerAddress, message.failureDomain, message.state, message.known, now};
     m_addresses[address] = now;
     for (const auto &other : message.others) {
         learn(other, now);
--- /dev/null
+++ b/src/libpomeloentry/peertable_test.cpp
@@ -0,0 +1,67 @@
+#include "pomeloentry/peertable.h"
+
+#include "pomeloport/protocol/compactarchive.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto Now = Instant(1h);
+
+PeerMessage message(EntryState state)
+{
+    PeerMessage result;
+    result.state = state;
+    result.callerAddress = "10.0.0.2:80";
+    result.others = {"10.0.0.3:7000", "10.0.0.1:7000"};
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("peers are learned from each other and forgotten when silent", "[peertable]")
+{
+    PeerTable table("10.0.0.1:7000");
+    CHECK(table.learn("10.0.0.2:7000", Now));
+    CHECK_FALSE(table.learn("10.0.0.2:7000", Now));
+    CHECK_FALSE(table.learn("10.0.0.1:7000", Now));
+    CHECK(table.take({"b", 1}, "10.0.0.2:7000", message(EntryState::Starting), Now));
+    CHECK(table.addresses() == std::vector<std::string>{"10.0.0.2:7000", "10.0.0.3:7000"});
+    CHECK(table.live(Now + 500ms).size() == 1);
+    CHECK(table.live(Now + 2s).empty());
+    table.expire(Now + PeerTable::AddressLifetime + 1s);
+    CHECK(table.addresses().empty());
+}
+
+TEST_CASE("a change of state or incarnation is told, an older incarnation is ignored", "[peertable]")
+{
+    PeerTable table("10.0.0.1:7000");
+    table.take({"b", 2}, "10.0.0.2:7000", message(EntryState::Ready), Now);
+    CHECK_FALSE(table.take({"b", 2}, "10.0.0.2:7000", message(EntryState::Ready), Now));
+    CHECK(table.take({"b", 2}, "10.0.0.2:7000", message(EntryState::Leaving), Now));
+    CHECK_FALSE(table.take({"b", 1}, "10.0.0.2:7000", message(EntryState::Ready), Now));
+    CHECK(table.live(Now).front().state == EntryState::Leaving);
+    CHECK(table.take({"b", 3}, "10.0.0.9:7000", message(EntryState::Starting), Now));
+    CHECK(table.live(Now).front().address == "10.0.0.9:7000");
+}
+
+TEST_CASE("messages between instances survive their codec, and forged ones are rejected", "[peertable]")
+{
+    auto sent = message(EntryState::Ready);
+    sent.known = {5, 9};
+    sent.work.items.push_back({77, true, 10, 5, -20, 250, 30, 1.5F, {{3, 12.5F, 900}}});
+    sent.work.ended = {1, 2};
+    const auto bytes = pomeloport::detail::encodeCompact(sent);
+    const auto read = pomeloport::detail::decodeCompact<PeerMessage>(bytes);
+    REQUIRE(read);
+    CHECK(read->known.backends == 9);
+    CHECK(read->work.items.front().dueInMs == -20);
+    CHECK(read->work.items.front().parts.front().readMs == 12.5F);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(pomeloport::detail::decodeCompact<PeerMessage>(std::string_view(bytes).substr(0, length)));
+    }
+}
--- a/src/libpomeloentry/ticketholder.h
+++ b/src/libpomeloentry/ticketholder.h
@@ -24,8 +24,8 @@
     std::uint64_t tokens = 0;
 };
 
-/// Sets memory aside at several engines for one attempt, keeps it while the attempt runs, and frees it. All work runs on
-/// the executor given; the caller keeps the object until release().
+/// Sets memory aside at several engines for one attempt, keeps it while the attempt runs, and frees it. All work runs
+/// on the executor given; the caller keeps the object until release().
 class TicketHolder : public std::enable_shared_from_this<TicketHolder>
 {
 public:
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -115,18 +115,16 @@
         known.epochs.erase(key);
     }
     if (report.whole && report.lastPiece) {
-        std::erase_if(known.items, [&known, &report](const auto &entry) {
-            return known.epochs[entry.first] < report.epoch;
-        });
+        std::erase_if(known.items,
+                      [&known, &report](const auto &entry) { return known.epochs[entry.first] < report.epoch; });
         std::erase_if(known.epochs, [&known](const auto &entry) { return !known.items.contains(entry.first); });
     }
 }
 
 void WorkLedger::expire(Instant now)
 {
-    const auto erased = std::erase_if(m_others, [now](const auto &entry) {
-        return now - entry.second.heardAt > Expiry;
-    });
+    const auto erased =
+        std::erase_if(m_others, [now](const auto &entry) { return now - entry.second.heardAt > Expiry; });
     m_indexed = m_indexed && erased == 0;
 }
 
--- a/src/libpomeloport/transport/connectionpool.cpp
+++ b/src/libpomeloport/transport/connectionpool.cpp
@@ -59,9 +59,7 @@
     return nullptr;
 }
 
-void ConnectionPool::give(const std::string &address,
-                          std::unique_ptr<Socket> socket,
-                          std::chrono::milliseconds keptFor)
+void ConnectionPool::give(const std::string &address, std::unique_ptr<Socket> socket, std::chrono::milliseconds keptFor)
 {
     const std::lock_guard lock(m_mutex);
     auto &idle = m_idle[address];
--- a/src/libpomeloport/transport/httpmessage.cpp
+++ b/src/libpomeloport/transport/httpmessage.cpp
@@ -66,8 +66,8 @@
     }
     HttpFields result;
     for (const auto &field : fields) {
-        const bool listed = std::ranges::any_of(
-            named, [&field](const std::string &name) { return sameFieldName(name, field.first); });
+        const bool listed =
+            std::ranges::any_of(named, [&field](const std::string &name) { return sameFieldName(name, field.first); });
         if (!listed && !isConnectionField(field.first)) {
             result.push_back(field);
         }
--- a/src/pomeloentry/main.cpp
+++ b/src/pomeloentry/main.cpp
@@ -41,7 +41,7 @@
     auto settings = pomeloentry::wire::loadSettings(options.settingsFile, errors);
     auto policy = pomeloentry::loadPolicy(options.policyFile, errors);
     if (settings && policy) {
-        settings->policy = std::move(*policy);
+        settings->policy = *policy;
     } else {
         settings.reset();
     }
