--- a/src/include/pomeloport/logging.h
+++ b/src/include/pomeloport/logging.h
@@ -41,7 +41,8 @@
     std::string m_text;
 };
 
-/// Sets up logging to standard error. Lines below the level ("debug", "info", "warning", "error") are dropped. Returns
+/// Sets up logging to standard output, which never blocks: lines that a slow reader leaves no room for are dropped and
+/// counted. Lines below the level ("debug", "info", "warning", "error") are dropped. Returns
 /// false, with a last reason, for an unknown level. Call once, before other threads start.
 bool startLogging(std::string_view program, std::string_view level);
 
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -208,10 +208,8 @@
 {
     kind.failures = 0;
     const auto now = steadyNow();
-    const bool others = std::ranges::any_of(m_kinds, [](const Kind &entry) { return entry.failures > 0; });
-    if (m_storeAway && !others) {
+    if (m_storeAway) {
         m_storeAway = false;
-        m_storeBackAt = now;
         logEvent(LogLevel::Info,
                  "dependency_regained",
                  {{"dependency", "store"}, {"last_failure_ms", (now - m_storeFailedAt).count() / 1000}});
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -96,7 +96,6 @@
     /// When another instance was first seen to know more.
     std::optional<Instant> m_behindSince;
     Instant m_storeFailedAt{};
-    Instant m_storeBackAt{};
     bool m_storeAway = false;
     bool m_pulling = false;
     bool m_registered = false;
--- a/src/libpomeloport/logging.cpp
+++ b/src/libpomeloport/logging.cpp
@@ -1,9 +1,13 @@
 #include "pomeloport/logging.h"
 
+#include "logoutput.h"
+
 #include "pomeloport/lastreason.h"
 
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace pomeloport
@@ -56,6 +60,21 @@
     }
 }
 
+/// Hands formatted lines to an output that never blocks, in place of the library's own.
+class BoundedDispatch : public el::LogDispatchCallback
+{
+public:
+    void handle(const el::LogDispatchData *data) override
+    {
+        auto *logger = data->logMessage()->logger();
+        const auto line = logger->logBuilder()->build(data->logMessage(), true);
+        m_output.write({line.data(), line.size()});
+    }
+
+private:
+    detail::LogOutput m_output{STDOUT_FILENO};
+};
+
 } // namespace
 
 LogValue::LogValue(std::string_view text)
@@ -85,7 +104,7 @@
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     configuration.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
     bool known = false;
     for (std::size_t i = 0; i < std::size(levels); ++i) {
@@ -97,6 +116,7 @@
         return false;
     }
     programName() = program;
+    el::Helpers::installLogDispatchCallback<BoundedDispatch>("BoundedDispatch");
     el::Loggers::reconfigureLogger("default", configuration);
     return true;
 }
