--- /dev/null
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -0,0 +1,179 @@
+#include "pomeloport/transport/callstream.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+using namespace pomeloport;
+using boost::asio::ip::tcp;
+
+namespace
+{
+
+/// A server that answers each request on a connection with the next of its texts; "" closes the connection.
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(std::vector<std::string> answers)
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.42.0.7"), 0})
+        , m_thread([this, answers = std::move(answers)] { serve(answers); })
+    {
+    }
+    ~ScriptedServer()
+    {
+        m_thread.join();
+    }
+
+    std::string address() const
+    {
+        return "127.42.0.7:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    std::vector<std::string> requests;
+
+private:
+    void serve(const std::vector<std::string> &answers)
+    {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        boost::asio::streambuf buffer;
+        for (const auto &answer : answers) {
+            boost::system::error_code error;
+            const auto size = boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+            requests.emplace_back(static_cast<const char *>(buffer.data().data()), size);
+            buffer.consume(size);
+            boost::asio::write(socket, boost::asio::buffer(answer), error);
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+/// Makes one call after the other and keeps what it heard.
+class Caller
+{
+public:
+    /// The events of one call: names, with the bodies' text between them.
+    std::string call(const std::string &address, const std::string &id, const std::string &method = "GET")
+    {
+        m_heard.clear();
+        m_done = false;
+        RelayedCall call;
+        call.address = address;
+        call.method = method;
+        call.target = "/x";
+        call.fields = {{"Host", "a"}, {"Id", id}};
+        call.belongs = [id](const HttpAnswerHead &head) {
+            return fieldValue(head.fields, "Id") == id;
+        };
+        CallStream stream(m_client.pool(), m_strand, call, [this](CallEvent event) {
+            std::visit([this](const auto &heard) { note(heard); }, event);
+        });
+        while (!m_done) {
+            m_context.run_one();
+        }
+        return m_heard;
+    }
+
+private:
+    void note(const callevent::Sending & /*event*/)
+    {
+    }
+    void note(const callevent::Drained & /*event*/)
+    {
+    }
+    void note(const callevent::Unreachable & /*event*/)
+    {
+        end("unreachable");
+    }
+    void note(const callevent::Head &event)
+    {
+        m_heard += std::to_string(event.head.status) + " ";
+    }
+    void note(const callevent::Piece &event)
+    {
+        m_heard += event.bytes;
+    }
+    void note(const callevent::End & /*event*/)
+    {
+        end(" end");
+    }
+    void note(const callevent::Broken & /*event*/)
+    {
+        end(" broken");
+    }
+    void end(const char *how)
+    {
+        m_heard += how;
+        m_done = true;
+    }
+
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard{m_context.get_executor()};
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand{m_context.get_executor()};
+    HttpClient m_client{m_context};
+    std::string m_heard;
+    bool m_done = false;
+};
+
+std::string answer(const std::string &id, const std::string &body)
+{
+    return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+TEST_CASE("a relayed call keeps its connection and sends its fields as they are", "[callstream]")
+{
+    Caller caller;
+    ScriptedServer server({answer("1", "one"), answer("2", "two")});
+    CHECK(caller.call(server.address(), "1") == "200 one end");
+    CHECK(caller.call(server.address(), "2", "POST") == "200 two end");
+    CHECK(server.requests[0] == "GET /x HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n");
+    CHECK(server.requests[1] == "POST /x HTTP/1.1\r\nHost: a\r\nId: 2\r\nContent-Length: 0\r\n\r\n");
+}
+
+TEST_CASE("an answer to an earlier call on a kept connection is dropped", "[callstream]")
+{
+    Caller caller;
+    ScriptedServer server({answer("1", "one"), answer("1", "again") + answer("2", "two")});
+    CHECK(caller.call(server.address(), "1") == "200 one end");
+    CHECK(caller.call(server.address(), "2") == "200 two end");
+}
+
+TEST_CASE("an answer is whole by its framing only", "[callstream]")
+{
+    const auto once = [](const std::string &text) {
+        Caller caller;
+        ScriptedServer server({text});
+        return caller.call(server.address(), "1");
+    };
+    CHECK(once("HTTP/1.1 200 OK\r\n\r\nuntil the end") == "200 until the end end");
+    CHECK(once("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort") == "200 short broken");
+    CHECK(once("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n") == "200 abc broken");
+    CHECK(once("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n") == "200 abc end");
+    CHECK(once("HTTP/1.1 100 Continue\r\n\r\n" + answer("1", "x")) == "200 x end");
+    CHECK(once("garbage\r\n\r\n") == " broken");
+    CHECK(once("") == " broken");
+    CHECK(once("HTTP/1.1 200 O") == " broken");
+}
+
+TEST_CASE("a connection with bytes left over is not used again", "[callstream]")
+{
+    Caller caller;
+    std::string address;
+    {
+        ScriptedServer server({answer("1", "one") + "rest"});
+        address = server.address();
+        CHECK(caller.call(address, "1") == "200 one end");
+    }
+    CHECK(caller.call(address, "2") == "unreachable");
+}
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -146,3 +146,31 @@
     asio::read(socket, asio::dynamic_buffer(rest), error);
     REQUIRE(rest.size() < ReplyBytes);
 }
+
+TEST_CASE("requests whose end or host is ambiguous are refused", "[http]")
+{
+    bool served = false;
+    detail::ServerFixture fixture([&served](const std::shared_ptr<HttpExchange> &exchange) {
+        served = true;
+        exchange->reply(200, "text/plain", "ok");
+    });
+    for (const std::string fields : {"Content-Length: 1\r\nContent-Length: 1\r\n",
+                                     "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+                                     "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n",
+                                     "Transfer-Encoding: gzip, chunked\r\n",
+                                     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                     "Host: b\r\n"}) {
+        const auto answer = fixture.talk("POST /x HTTP/1.1\r\nHost: a\r\n" + fields + "\r\n1\r\nx\r\n0\r\n\r\n");
+        CHECK(answer.starts_with("HTTP/1.1 400"));
+    }
+    CHECK_FALSE(served);
+}
+
+TEST_CASE("an answer's head is sent as it is, with the framing of its body", "[http]")
+{
+    detail::ServerFixture fixture([](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->reply({418, "Teapot", {{"Seal", "s"}, {"Seal", "t"}}}, "body");
+    });
+    CHECK(fixture.talk("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+          == "HTTP/1.1 418 Teapot\r\nSeal: s\r\nSeal: t\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
+}
