Soak the real programs with random faults

Change: testsuite/soak starts a store, four backend servers and five entry instances as processes, puts proxies before store and servers, and draws faults by seed: signals, proxies that delay, reset or silence, outages, changes of keys and routes, leaving servers. Promises are checked from what callers and servers see. Ruled out: seed 2 failed once ('a connection closed without an answer'): the trace shows that the caller used a connection whose process had ended five seconds before, without looking at its end. Callers now look.

--- /dev/null
+++ b/testsuite/soak/clients.py
@@ -0,0 +1,129 @@
+"""Callers of a soak run: they ask for addresses, keep connections for many requests, and note what they see."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+
+from world import NET, exchange, now
+
+# Callers wait this long for an answer.
+PATIENCE_S = 4.0
+# Largest share of requests on each path; the paths name kinds of routes and faults of the stand-in.
+PATHS = ["/plain/x"] * 4 + ["/once/x"] * 2 + ["/stream/x"] * 3 + ["/cut/x", "/lost/x"]
+
+
+@dataclass
+class Attempt:
+    """One request as its caller saw it."""
+
+    id: str
+    path: str
+    key: str
+    entry: int
+    sent_at: float
+    status: int = 0
+    ended_at: float = 0.0
+    # "whole", "cut" (the connection ended), or "none" (the caller gave up).
+    end: str = "none"
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+
+class Connection:
+    """One kept connection to an entry instance."""
+
+    def __init__(self, entry):
+        self.entry = entry
+        self.usable = False
+
+    async def open(self):
+        address = (f"{NET}.3.{self.entry + 1}", 8080)
+        self.reader, self.writer = await asyncio.wait_for(asyncio.open_connection(*address), 1.0)
+        self.usable = True
+
+    def close(self):
+        self.usable = False
+        self.writer.close()
+
+    async def request(self, attempt):
+        payload = attempt.id.encode()
+        head = (
+            f"POST {attempt.path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt.id}\r\n"
+            f"Authorization: Bearer {attempt.key}\r\nDeadline-Ms: {int(PATIENCE_S * 1000)}\r\n"
+            f"Content-Length: {len(payload)}\r\n\r\n"
+        )
+        try:
+            self.writer.write(head.encode() + payload)
+            await asyncio.wait_for(self._answer(attempt), PATIENCE_S)
+        except (asyncio.IncompleteReadError, OSError):
+            attempt.end = "cut"
+        except asyncio.TimeoutError:
+            attempt.end = "none"
+        attempt.ended_at = now()
+        if attempt.end != "whole" or attempt.headers.get("connection") == "close":
+            self.close()
+
+    async def _answer(self, attempt):
+        head = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        attempt.status = int(head[0].split()[1])
+        attempt.headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in head[1:])}
+        if "content-length" in attempt.headers:
+            attempt.body = await self.reader.readexactly(int(attempt.headers["content-length"]))
+        else:
+            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                attempt.body += (await self.reader.readexactly(size + 2))[:-2]
+            await self.reader.readexactly(2)
+        attempt.end = "whole"
+
+
+class Client:
+    """Sends one request after another, each on a kept connection to an address that the directory names."""
+
+    def __init__(self, world, random, name):
+        self.world, self.random, self.name = world, random, name
+        self.attempts = []
+        self.addresses = []
+        self.known_until = 0.0
+        self.connections = {}
+
+    async def run(self, until):
+        while now() < until:
+            await self.refresh()
+            if not self.addresses:
+                await asyncio.sleep(0.1)
+                continue
+            await self.send(self.random.choice(PATHS), "key", self.random.choice(self.addresses))
+            await asyncio.sleep(self.random.uniform(0.0, 0.08))
+        for connection in self.connections.values():
+            connection.close()
+
+    async def send(self, path, key, entry):
+        connection = self.connections.get(entry)
+        if not connection or not connection.usable or connection.reader.at_eof():
+            connection = Connection(entry)
+            try:
+                await connection.open()
+            except (OSError, asyncio.TimeoutError):
+                return None
+            self.connections[entry] = connection
+        attempt = Attempt(f"{self.name}-{len(self.attempts)}", path, key, entry, now())
+        self.attempts.append(attempt)
+        await connection.request(attempt)
+        return attempt
+
+    async def refresh(self):
+        if now() < self.known_until:
+            return
+        for _ in range(3):
+            index = self.random.randrange(self.world.entry_count)
+            try:
+                status, body = await exchange(
+                    (f"{NET}.3.{index + 1}", 8082), "GET", "/pomeloport/resolve?name=a.example&zone=a"
+                )
+                answer = json.loads(body) if status == 200 else {}
+            except (OSError, asyncio.TimeoutError, ValueError):
+                continue
+            if "addresses" in answer:
+                self.addresses = [int(a.split(":")[0].split(".")[3]) - 1 for a in answer["addresses"]]
+                self.known_until = now() + answer["ttlS"]
+                return
--- /dev/null
+++ b/testsuite/soak/faults.py
@@ -0,0 +1,219 @@
+"""Faults of a soak run, drawn by seed, alone and overlapping."""
+
+import asyncio
+import signal
+
+from world import GRACE_S, STORE, exchange, now
+
+# A fault leaves traces for this long after its end: retransmissions, caches, other instances' views.
+AFTERMATH_S = 3.0
+MODES = ["delay", "reset", "silent", "mute", "deaf"]
+
+
+class Faults:
+    """Draws faults until the end of the disturbed part of a run. Backend server 0 stays whole."""
+
+    def __init__(self, world, random, report):
+        self.world, self.random, self.report = world, random, report
+        self.busy = set()
+        self.tasks = []
+        self.generation = 0
+
+    async def run(self, until):
+        kinds = [
+            self.kill_entry, self.term_entry, self.pause_entry, self.kill_runner, self.pause_runner, self.cut_runner,
+            self.store_away, self.pause_store, self.cut_store, self.revoke_key, self.add_route, self.drain_runner,
+        ]  # fmt: skip
+        while now() < until:
+            kind = self.random.choice(kinds)
+            self.tasks.append(asyncio.create_task(kind()))
+            await asyncio.sleep(self.random.uniform(0.2, 1.6))
+        await asyncio.gather(*self.tasks)
+
+    def note(self, what, subject):
+        self.report(f"{what} {subject}")
+
+    def take(self, subject):
+        """Whether the subject is free of other faults; takes it if so."""
+        if subject in self.busy:
+            return False
+        self.busy.add(subject)
+        return True
+
+    async def on_entry(self, what, act):
+        entry = self.random.choice(self.world.entries)
+        if not self.take(entry.name):
+            return
+        self.note(what, entry.name)
+        begin = now()
+        span = [begin, float("inf")]
+        entry.disturbed.append(span)
+        await act(entry)
+        span[1] = now() + AFTERMATH_S
+        self.busy.discard(entry.name)
+
+    async def kill_entry(self):
+        async def act(entry):
+            await entry.end()
+            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+            await entry.start()
+
+        await self.on_entry("kill", act)
+
+    async def term_entry(self):
+        """Stops an instance gracefully: requests that it took must be answered, so that this counts as calm."""
+        entry = self.random.choice(self.world.entries)
+        if not self.take(entry.name):
+            return
+        self.note("term", entry.name)
+        begin = now()
+        status = await entry.end(signal.SIGTERM)
+        took = now() - begin
+        if status != 0 or took > GRACE_S:
+            self.report(f"FAILED graceful stop of {entry.name}: status {status} after {took:.1f} s")
+        # Requests that cross the end of the process and the time until it is back.
+        span = [now() - 0.2, float("inf")]
+        entry.disturbed.append(span)
+        await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        await entry.start()
+        span[1] = now() + AFTERMATH_S
+        self.busy.discard(entry.name)
+
+    async def pause_entry(self):
+        async def act(entry):
+            entry.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(self.random.uniform(0.3, 3.0))
+            entry.send_signal(signal.SIGCONT)
+
+        await self.on_entry("pause", act)
+
+    def other_runner(self):
+        """A backend server other than the first, with its index; nothing when it is in another fault."""
+        name = self.random.choice(sorted(self.world.runners))
+        process = self.world.runners[name]
+        index = int(process.arguments[-1].split(":")[0].split(".")[3]) - 1
+        if index == 0 or process.child.returncode is not None or not self.take(f"runner {index}"):
+            return None, None, None
+        return index, name, process
+
+    async def kill_runner(self):
+        index, name, process = self.other_runner()
+        if process is None:
+            return
+        self.note("kill", name)
+        await process.end()
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await process.start()
+        await self.world.announce(index, name, "ready")
+        self.busy.discard(f"runner {index}")
+
+    async def pause_runner(self):
+        index, name, process = self.other_runner()
+        if process is None:
+            return
+        self.note("pause", name)
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.3, 2.5))
+        process.send_signal(signal.SIGCONT)
+        self.busy.discard(f"runner {index}")
+
+    async def cut_runner(self):
+        index, name, process = self.other_runner()
+        if process is None:
+            return
+        mode = self.random.choice(MODES)
+        self.note(mode, name)
+        self.world.runner_proxies[index].apply(mode)
+        await asyncio.sleep(self.random.uniform(0.5, 3.0))
+        self.world.runner_proxies[index].heal()
+        self.busy.discard(f"runner {index}")
+
+    async def drain_runner(self):
+        """A backend server announces that it leaves, serves on for a while, ends, and another one takes its place."""
+        index, name, process = self.other_runner()
+        if process is None:
+            return
+        self.note("drain", name)
+        if not await self.try_store(self.world.announce(index, name, "draining")):
+            self.busy.discard(f"runner {index}")
+            return
+        self.world.drained[name] = now()
+        await asyncio.sleep(4.5)
+        await self.world.store_call("POST", f"/remove?kind=servers&name={name}")
+        await process.end()
+        self.generation += 1
+        await self.world.add_runner(index, f"i-{index}-{self.generation}")
+        self.busy.discard(f"runner {index}")
+
+    async def try_store(self, call):
+        try:
+            await call
+            return True
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+    async def on_store(self, what, begin, end, longest):
+        if not self.take("store"):
+            return
+        self.note(what, "store")
+        span = [now(), float("inf")]
+        self.world.store_disturbed.append(span)
+        await begin()
+        await asyncio.sleep(self.random.uniform(0.3, longest))
+        await end()
+        span[1] = now() + AFTERMATH_S
+        self.busy.discard("store")
+
+    async def store_away(self):
+        await self.on_store("away", lambda: exchange(STORE, "POST", "/away"), lambda: exchange(STORE, "POST", "/back"), 3)
+
+    async def pause_store(self):
+        async def send(number):
+            self.world.store.send_signal(number)
+
+        await self.on_store("pause", lambda: send(signal.SIGSTOP), lambda: send(signal.SIGCONT), 2)
+
+    async def cut_store(self):
+        """Takes some instances' way to the store; others still reach it and must tell them."""
+        count = self.random.randint(1, 3)
+        mode = self.random.choice(MODES)
+        chosen = self.random.sample(range(len(self.world.store_proxies)), count)
+        self.note(mode, f"store for {[index + 1 for index in chosen]}")
+        for index in chosen:
+            self.world.store_proxies[index].apply(mode)
+        await asyncio.sleep(self.random.uniform(0.5, 4.0))
+        for index in chosen:
+            self.world.store_proxies[index].heal()
+
+    async def change(self):
+        """Writes the configuration; false while the store takes no changes."""
+        return await self.try_store(self.world.configure())
+
+    async def revoke_key(self):
+        if not self.take("store"):
+            return
+        key = f"key-{len(self.world.keys)}"
+        self.world.keys[key] = None
+        if await self.change():
+            await asyncio.sleep(0.5)
+            self.world.keys[key] = now()
+            if await self.change():
+                self.note("revoke", key)
+                self.world.keys[key] = now()
+            else:
+                del self.world.keys[key]
+        else:
+            del self.world.keys[key]
+        self.busy.discard("store")
+
+    async def add_route(self):
+        if not self.take("store"):
+            return
+        prefix = f"/plain-{len(self.world.extra_routes)}/"
+        self.world.extra_routes[prefix] = float("inf")
+        if await self.change():
+            self.note("route", prefix)
+            self.world.extra_routes[prefix] = now()
+        else:
+            del self.world.extra_routes[prefix]
+        self.busy.discard("store")
--- /dev/null
+++ b/testsuite/soak/soak.py
@@ -0,0 +1,208 @@
+"""A randomized fault soak of the real programs on one machine.
+
+Usage: soak.py PROGRAMS [--seeds A,B,...] [--fresh N] [--seconds S]
+
+Each seed starts a store, four backend servers and five entry instances as processes, lets callers send requests, and
+injects faults from outside: signals, proxies, changes of configuration. Promises are checked from what callers and
+backend servers see. A seed that failed is run again with --seeds; its logs are kept."""
+
+import argparse
+import asyncio
+import collections
+import os
+import random
+import shutil
+import sys
+import tempfile
+
+from clients import Client
+from faults import Faults
+from world import World, now
+
+CALLERS = 12
+# The routes' time-out, and how much later an answer may come.
+TIMEOUT_S = 3.0
+SLACK_S = 0.5
+# Changes are in force, and leaving servers get nothing new, after this time.
+IN_FORCE_S = 3.0
+# All is served again this long after the last fault.
+RECOVERY_S = 4.0
+NOT_RUN = (408, 421, 429, 503)
+EVENTS = b"".join(b"id: %d\ndata: %d\n\n" % (i, i) for i in range(1, 11))
+
+
+async def probe(world, client, rng, until):
+    """Uses keys that were taken away and routes that were added, at each instance."""
+    while now() < until:
+        for entry in range(world.entry_count):
+            revoked = [key for key, since in world.keys.items() if since]
+            added = [prefix for prefix, since in world.extra_routes.items() if since < now()]
+            if revoked and rng.random() < 0.5:
+                await client.send("/plain/x", rng.choice(revoked), entry)
+            elif added:
+                await client.send(rng.choice(added) + "x", "key", entry)
+        await asyncio.sleep(0.3)
+
+
+class Checks:
+    """Compares what callers saw with what ran."""
+
+    def __init__(self, world, attempts):
+        self.world = world
+        self.attempts = attempts
+        self.failures = []
+        self.runs = collections.defaultdict(list)
+        for name, runner in world.runners.items():
+            for at, line in runner.lines:
+                if line.startswith("run "):
+                    self.runs[line.split()[1]].append((at, name))
+
+    def fail(self, promise, attempt, detail=""):
+        self.failures.append(
+            f"{promise}: id={attempt.id} path={attempt.path} entry={attempt.entry + 1} status={attempt.status} "
+            f"end={attempt.end} took={attempt.ended_at - attempt.sent_at:.2f} runs={self.runs[attempt.id]} {detail}"
+        )
+
+    def store_calm(self, begin, end):
+        return all(end < start or begin > finish for start, finish in self.world.store_disturbed)
+
+    def check(self):
+        for attempt in self.attempts:
+            if not attempt.ended_at:
+                continue
+            entry = self.world.entries[attempt.entry]
+            calm = entry.calm(attempt.sent_at - 0.3, attempt.ended_at)
+            self.check_runs(attempt)
+            self.check_body(attempt)
+            if calm:
+                self.check_end(attempt, entry)
+                self.check_configuration(attempt)
+        self.check_drain()
+        return self.failures
+
+    def check_runs(self, attempt):
+        once = attempt.path.startswith(("/once/", "/lost/"))
+        if once and len(self.runs[attempt.id]) > 1:
+            self.fail("a non-idempotent request ran twice", attempt)
+        if once and attempt.status in NOT_RUN and self.runs[attempt.id]:
+            self.fail("a request told as not run has run", attempt)
+
+    def check_body(self, attempt):
+        if attempt.status != 200:
+            return
+        stream = attempt.path.startswith(("/stream/", "/cut/"))
+        if "response-seal" not in attempt.headers:
+            self.fail("an answer without the server's seal", attempt)
+        elif stream and attempt.end == "whole" and attempt.body != EVENTS:
+            self.fail("a stream ended as whole and is not", attempt, repr(attempt.body))
+        elif stream and not EVENTS.startswith(attempt.body):
+            self.fail("a stream out of order", attempt, repr(attempt.body))
+        elif not stream and attempt.end == "whole" and not attempt.body.endswith(f" org {attempt.id}\n".encode()):
+            self.fail("an answer of another request", attempt, repr(attempt.body))
+
+    def check_end(self, attempt, entry):
+        if attempt.end == "none" or attempt.ended_at - attempt.sent_at > TIMEOUT_S + SLACK_S:
+            self.fail("no answer in time", attempt)
+        elif attempt.end == "cut" and attempt.status == 0:
+            self.fail("a connection closed without an answer", attempt)
+        elif attempt.end == "whole" and attempt.status >= 400:
+            if not any(f"id={attempt.id} " in line for _, line in entry.lines):
+                self.fail("a failed request is not in the log", attempt)
+        if attempt.status in (429, 503) and "retry-after" not in attempt.headers:
+            self.fail("a refusal does not say when to come back", attempt)
+
+    def check_configuration(self, attempt):
+        revoked = self.world.keys.get(attempt.key)
+        prefix = attempt.path[: attempt.path.rindex("/") + 1]
+        added = self.world.extra_routes.get(prefix)
+        since = revoked or added
+        if not since or attempt.sent_at < since + IN_FORCE_S or not self.store_calm(since, attempt.sent_at):
+            return
+        if revoked and attempt.status not in (0, 401):
+            self.fail("a key that was taken away is used", attempt, f"revoked {attempt.sent_at - revoked:.2f} s before")
+        if added and attempt.status == 404:
+            self.fail("a route is not in force", attempt, f"added {attempt.sent_at - added:.2f} s before")
+
+    def check_drain(self):
+        sent = {attempt.id: attempt for attempt in self.attempts}
+        for id, runs in self.runs.items():
+            for at, name in runs:
+                since = self.world.drained.get(name)
+                attempt = sent.get(id)
+                if not since or not attempt or attempt.sent_at < since + IN_FORCE_S:
+                    continue
+                calm = self.world.entries[attempt.entry].calm(since, at)
+                if calm and self.store_calm(since, since + IN_FORCE_S):
+                    self.fail("a leaving server got a request", attempt, f"{at - since:.2f} s after its notice")
+
+
+async def recovered(world, client):
+    """After the last fault every instance serves."""
+    failures = []
+    for entry in range(world.entry_count):
+        for _ in range(5):
+            attempt = await client.send("/plain/x", "key", entry)
+            if attempt is None or attempt.status != 200:
+                failures.append(f"not served after recovery: entry={entry + 1} attempt={attempt}")
+    return failures
+
+
+async def run_seed(programs, seed, seconds, folder):
+    rng = random.Random(seed)
+    world = World(programs, folder)
+    events, failures = [], []
+    started = now()
+
+    def report(text):
+        events.append(f"{now() - started:7.3f} {text}")
+        if text.startswith("FAILED"):
+            failures.append(text)
+
+    try:
+        await world.start()
+        until = now() + seconds
+        faults = Faults(world, random.Random(rng.random()), report)
+        clients = [Client(world, random.Random(rng.random()), f"c{i}") for i in range(CALLERS)]
+        prober = Client(world, random.Random(rng.random()), "p")
+        jobs = [client.run(until + RECOVERY_S) for client in clients]
+        jobs += [probe(world, prober, random.Random(rng.random()), until + RECOVERY_S), faults.run(until)]
+        await asyncio.gather(*jobs)
+        await asyncio.sleep(max(0, until + RECOVERY_S - now()) + RECOVERY_S)
+        failures += await recovered(world, prober)
+        attempts = [attempt for client in [*clients, prober] for attempt in client.attempts]
+        failures += Checks(world, attempts).check()
+    finally:
+        await world.stop()
+    served = sum(attempt.status == 200 for attempt in attempts)
+    with open(os.path.join(folder, "events.txt"), "w", encoding="utf-8") as file:
+        file.write(f"started at {started:.3f}\n" + "\n".join(events + failures) + "\n")
+    result = "failed" if failures else "passed"
+    print(f"seed={seed} result={result} faults={len(events)} attempts={len(attempts)} served={served}", flush=True)
+    for failure in failures[:10]:
+        print(f"  {failure}")
+    return not failures
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("programs")
+    parser.add_argument("--seeds", default="")
+    parser.add_argument("--fresh", type=int, default=0)
+    parser.add_argument("--seconds", type=float, default=12)
+    options = parser.parse_args()
+    seeds = [int(seed) for seed in options.seeds.split(",") if seed]
+    seeds += [random.SystemRandom().randrange(1 << 32) for _ in range(options.fresh)]
+    passed = 0
+    for seed in seeds:
+        folder = tempfile.mkdtemp(prefix=f"soak.{seed}.")
+        if asyncio.run(run_seed(os.path.abspath(options.programs), seed, options.seconds, folder)):
+            passed += 1
+            shutil.rmtree(folder)
+        else:
+            print(f"  logs are kept in {folder}")
+    print(f"{passed} passed, {len(seeds) - passed} failed")
+    return 0 if passed == len(seeds) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
