Tell new work at once, and choose at random among nearly equal engines

Instances choose the same best engine before they hear of each other. Ruled out: long reads on the engine (40 and 19 late), waiting before the choice (58).

--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -30,6 +30,8 @@
     Instant abandoned{};
     /// What an answer in time is worth.
     double worth = 1;
+    /// Decides between engines that are nearly equal; differs between calls and instances.
+    std::uint64_t draw = 0;
 };
 
 /// What arrived lately, at all instances.
@@ -91,6 +93,9 @@
     double spreadCost = 0.08;
     /// Share of worth that a delay of one whole target costs, so that sooner is better among equals.
     double delayCost = 0.05;
+    /// Share of worth by which choices may differ and still count as equal. Instances that have not heard of each
+    /// other's latest choices take unlike ones among these, instead of all crowding the best engine.
+    double tieShare = 0.1;
     /// Worth that each further engine costs: one more that may fail.
     double helperCost = 0.03;
     /// Share of worth that it costs to set memory aside at another engine.
--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -10,6 +10,7 @@
 #include "pomeloport/coordination/route.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -131,6 +132,9 @@
     /// Takes what another instance told of its work.
     void takeReport(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now);
 
+    /// Sets what is called when there is new work to tell other instances, on the thread that opened it. Call once.
+    void onOpened(std::function<void()> callback);
+
     /// Changes of own work for other instances; nothing when there are none.
     std::optional<WorkReport> takeChanges(Instant now);
     std::vector<WorkReport> wholeList(Instant now);
@@ -182,6 +186,11 @@
     PromptWork promptOf(const CallWork &work) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const;
+    void book(const CallWork &work,
+              std::uint32_t attempt,
+              const pomeloport::Route &route,
+              const std::vector<std::uint64_t> &tickets,
+              Instant now);
     void noteAttempt(const WorkItem &item, Instant now);
     Health &health(std::uint32_t key);
     std::uint32_t keyOf(const std::string &backend) const;
@@ -198,6 +207,7 @@
     std::unordered_map<std::uint32_t, Health> m_health;
     WorkLedger m_ledger;
     RepeatBudget m_repeats;
+    std::function<void()> m_opened;
     std::uint64_t m_turn = 0;
 };
 
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -47,8 +47,22 @@
     /// When a helper's part would be read, and what it would cost others.
     double helperFinishMs = 0;
     double helperDamage = 0;
+    /// Added to the loss of choices that begin here, so that nearly equal ones take turns.
+    double tieLoss = 0;
 };
 
+/// A number from 0 to 1 for an engine, which differs between draws without pattern.
+double shareOf(std::uint64_t draw, std::uint32_t key)
+{
+    constexpr std::uint64_t First = 0x9E3779B97F4A7C15;
+    constexpr std::uint64_t Second = 0xBF58476D1CE4E5B9;
+    constexpr unsigned Shift = 29;
+    constexpr double Range = 18446744073709551616.0;
+    std::uint64_t mixed = (draw ^ (key * First)) * Second;
+    mixed = (mixed ^ (mixed >> Shift)) * First;
+    return static_cast<double>(mixed) / Range;
+}
+
 class Chooser
 {
 public:
@@ -81,6 +95,7 @@
                 passMs(m_cost, static_cast<double>(rated.load.writers.size()), rated.load.contextTokens) * engine.pace;
             const auto memory = static_cast<double>(m_cost.memoryTokens) * m_policy.memoryShare;
             rated.freeTokens = memory - static_cast<double>(rated.load.memoryTokens);
+            rated.tieLoss = m_work.worth * m_policy.tieShare * shareOf(m_work.draw, engine.key);
             m_backlogMs += rated.load.backlogMs;
             m_engines.push_back(std::move(rated));
         }
@@ -283,6 +298,7 @@
         if (tight && !first.load.tight) {
             loss += m_work.worth * m_policy.spreadCost;
         }
+        loss += first.tieLoss;
         if (!result || loss < result->loss) {
             choice.loss = loss;
             choice.late = lateness(firstMs);
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -206,8 +206,13 @@
 
 PromptWork EntryPlacement::promptOf(const CallWork &work) const
 {
-    return {
-        work.promptTokens, work.answerTokens, work.eventGap, work.arrival + work.target, work.abandoned, worthOf(work)};
+    return {work.promptTokens,
+            work.answerTokens,
+            work.eventGap,
+            work.arrival + work.target,
+            work.abandoned,
+            worthOf(work),
+            m_seed ^ (work.sequence * OrderFactor)};
 }
 
 Route EntryPlacement::routeOf(const CallWork &work, const EngineChoice &choice) const
@@ -302,7 +307,26 @@
                             const std::vector<std::uint64_t> &tickets,
                             Instant now)
 {
-    const std::lock_guard lock(m_mutex);
+    {
+        const std::lock_guard lock(m_mutex);
+        book(work, attempt, route, tickets, now);
+    }
+    if (m_opened) {
+        m_opened();
+    }
+}
+
+void EntryPlacement::onOpened(std::function<void()> callback)
+{
+    m_opened = std::move(callback);
+}
+
+void EntryPlacement::book(const CallWork &work,
+                          std::uint32_t attempt,
+                          const Route &route,
+                          const std::vector<std::uint64_t> &tickets,
+                          Instant now)
+{
     WorkItem item;
     item.key = itemKey(work, attempt);
     item.repeat = attempt > 1;
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -57,6 +57,12 @@
     for (const auto &seed : seeds) {
         mesh->learn(seed);
     }
+    mesh->m_core->placement.onOpened([weak = std::weak_ptr(mesh)] {
+        // What others choose next depends on it, so it is told at once.
+        if (const auto self = weak.lock()) {
+            self->sendChanges();
+        }
+    });
     mesh->armHeartbeat();
     mesh->armChanges();
     return mesh;
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -33,6 +33,7 @@
     readTime(reader, "tight_gap", policy.tightGap);
     readShare(reader, "spread_cost", policy.spreadCost);
     readShare(reader, "delay_cost", policy.delayCost);
+    readShare(reader, "tie_share", policy.tieShare);
     readShare(reader, "helper_cost", policy.helperCost);
     readShare(reader, "reading_price", policy.readingPrice);
     readShare(reader, "busy_from", policy.busyFrom);
