Let prompts of all instances wait for slots in one order

Change: prompts that find no slot are told to others; those that can be in time come first, then by due time; a prompt takes a slot only if its turn is among the free ones. What one pass reads is answered together, so a new read also delays prompts that are still read there.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -50,6 +50,8 @@
     double loss = 0;
     double damage = 0;
     double price = 0;
+    /// Prompts that wait for a slot and come before this one.
+    std::size_t before = 0;
     const char *reason = "";
 };
 
@@ -123,6 +125,9 @@
                 pomeloport::action::CloseAttempt::Outcome outcome,
                 Instant now);
 
+    /// Takes a call out of the queue for slots, because it is placed or has ended.
+    void leftQueue(const CallWork &work);
+
     /// Notes that a backend server failed in another way, such as a helper that another one named.
     void failed(const std::string &backend, Instant now);
 
@@ -171,9 +176,18 @@
                                           const pomeloport::RouteQuery &query,
                                           Instant now,
                                           ChoiceNote &note);
+    std::vector<EngineCandidate> candidates(const CallWork &work,
+                                            const std::vector<std::string> &avoid,
+                                            Instant now,
+                                            ChoiceNote &note);
+    bool queueForSlot(const CallWork &work,
+                      const EngineCost &cost,
+                      std::vector<EngineCandidate> &engines,
+                      Instant now,
+                      ChoiceNote &note);
     std::optional<EngineChoice> bestEngines(const CallWork &work,
                                             const EngineCost &cost,
-                                            const std::vector<std::string> &avoid,
+                                            const std::vector<EngineCandidate> &engines,
                                             Instant now,
                                             ChoiceNote &note);
     std::optional<pomeloport::RouteDecision> holdOrRefuse(const CallWork &work,
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -35,11 +35,14 @@
     }
 };
 
-/// One attempt in flight. The first part is where the answer is written; the others only read.
+/// One attempt in flight, or a prompt that waits for a slot. The first part is where the answer is written; the others
+/// only read.
 struct WorkItem
 {
     /// Unique among the work of one process.
     std::uint64_t key = 0;
+    /// The service at which it waits for a slot; zero for an attempt in flight. See serviceKey().
+    std::uint32_t waitsFor = 0;
     /// Whether the first event has come, so that reading is over.
     bool writing = false;
     /// Whether the call was sent before.
@@ -57,10 +60,14 @@
     std::vector<WorkPart> parts;
 };
 
+/// Identifies a service in messages between instances; never zero.
+std::uint32_t serviceKey(const std::string &service);
+
 /// A work item as told to other instances: times relative to the sending.
 struct WorkNotice
 {
     std::uint64_t key = 0;
+    std::uint32_t waitsFor = 0;
     bool writing = false;
     bool repeat = false;
     std::uint32_t ageMs = 0;
@@ -74,7 +81,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(key, writing, repeat, ageMs, writingAgeMs, dueInMs, gapMs, events, worth, parts);
+        archive(key, waitsFor, writing, repeat, ageMs, writingAgeMs, dueInMs, gapMs, events, worth, parts);
     }
 };
 
@@ -134,6 +141,9 @@
     /// All work by backend server. Valid until the next change.
     const ByBackend &byBackend() const;
 
+    /// Prompts of all senders that wait for a slot of a service. Valid until the next change.
+    std::vector<const WorkItem *> waiting(std::uint32_t service) const;
+
     /// Changes of own work since the last call, for other instances.
     WorkReport takeChanges(Instant now);
 
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -117,7 +117,7 @@
 
 private:
     /// What others lose when this much reading is added to a pass of the engine.
-    double damage(const Rated &rated, double readMs, bool ahead) const
+    double damage(const Rated &rated, double readMs) const
     {
         double result = 0;
         // A pass reads a bounded number of tokens; what is longer stretches several passes.
@@ -128,9 +128,7 @@
                 * (missed(after / writer.gapMs, m_policy.gapSafe, m_policy.gapMissed)
                    - missed(before / writer.gapMs, m_policy.gapSafe, m_policy.gapMissed));
         }
-        if (!ahead) {
-            return result;
-        }
+        // What one pass reads is answered together, so others that are read there wait for it as well.
         for (const auto &reader : rated.load.readers) {
             if (reader.dueInMs <= 0) {
                 continue;
@@ -237,7 +235,7 @@
             const double pace = rated.candidate->pace;
             rated.helperFinishMs =
                 m_policy.roundTripMs + waitForPass(rated) + rated.load.helperBacklogMs + partMs * pace;
-            rated.helperDamage = damage(rated, partMs * pace, true) + rated.candidate->risk * m_work.worth;
+            rated.helperDamage = damage(rated, partMs * pace) + rated.candidate->risk * m_work.worth;
         }
         std::vector<const Rated *> helpers;
         for (const auto &rated : m_engines) {
@@ -271,7 +269,7 @@
         EngineChoice choice;
         choice.first = first.candidate->backend;
         choice.partMs = partMs;
-        choice.damage = damage(first, partMs * pace, false) + first.candidate->risk * m_work.worth;
+        choice.damage = damage(first, partMs * pace) + first.candidate->risk * m_work.worth;
         double finishMs = m_policy.roundTripMs + waitForPass(first) + first.load.backlogMs + partMs * pace;
         std::vector<const Rated *> chosen;
         for (const auto *helper : helpers) {
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -1,5 +1,7 @@
 #include "pomeloentry/entryplacement.h"
 
+#include "pomeloentry/slotqueue.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -29,6 +31,9 @@
 constexpr std::chrono::milliseconds RetryAfterNoPlace{300};
 /// Attempts of one request are numbered below this in the keys of work items.
 constexpr std::uint64_t AttemptsPerCall = 256;
+/// The number that stands for a call that waits for a slot.
+constexpr std::uint32_t WaitingAttempt = 0;
+constexpr double MsPerSecond = 1000;
 /// An odd number without pattern, which spreads keys over all orders.
 constexpr std::uint64_t OrderFactor = 0x9E3779B97F4A7C15;
 
@@ -108,7 +113,12 @@
                                            Instant now,
                                            ChoiceNote &note)
 {
-    const auto choice = bestEngines(work, cost, query.avoid, now, note);
+    auto engines = candidates(work, query.avoid, now, note);
+    if (queueForSlot(work, cost, engines, now, note)) {
+        note.reason = "prompts that come before it wait for a slot, too";
+        return waitOrRefuse(work, now, note);
+    }
+    const auto choice = bestEngines(work, cost, engines, now, note);
     if (!choice) {
         note.reason = "no engine has a free slot and memory";
         return waitOrRefuse(work, now, note);
@@ -124,14 +134,13 @@
     return routeOf(work, *choice);
 }
 
-std::optional<EngineChoice> EntryPlacement::bestEngines(const CallWork &work,
-                                                        const EngineCost &cost,
+std::vector<EngineCandidate> EntryPlacement::candidates(const CallWork &work,
                                                         const std::vector<std::string> &avoid,
                                                         Instant now,
                                                         ChoiceNote &note)
 {
     const auto found = m_services.find(work.service);
-    std::vector<EngineCandidate> candidates;
+    std::vector<EngineCandidate> result;
     if (found != m_services.end()) {
         const auto &view = found->second;
         for (std::size_t i = 0; i < view.backends.size(); ++i) {
@@ -141,12 +150,60 @@
                 ++note.excluded;
                 continue;
             }
-            candidates.push_back({view.keys[i], view.backends[i], 1, known.risk});
+            result.push_back({view.keys[i], view.backends[i], 1, known.risk});
         }
     }
-    note.candidates = candidates.size();
+    note.candidates = result.size();
+    return result;
+}
+
+/// Leaves the engines whose slots are not taken by prompts that come before this one. Returns whether there are none:
+/// then the prompt waits, and others are told.
+bool EntryPlacement::queueForSlot(const CallWork &work,
+                                  const EngineCost &cost,
+                                  std::vector<EngineCandidate> &engines,
+                                  Instant now,
+                                  ChoiceNote &note)
+{
+    const auto service = serviceKey(work.service);
+    WorkItem item;
+    item.key = itemKey(work, WaitingAttempt);
+    item.waitsFor = service;
+    item.startedAt = work.arrival;
+    item.due = work.arrival + work.target;
+    const auto startTime = pomeloport::fromSeconds(
+        (m_policy.engines.roundTripMs + passMs(cost, static_cast<double>(cost.slots), 0)) / MsPerSecond);
+    const auto waiting = m_ledger.waiting(service);
+    const auto own = m_ledger.own().find(item.key);
+    const auto &ranked = own == m_ledger.own().end() ? item : own->second;
+    note.before = waitingBefore(ranked, waiting, startTime, now);
+    const auto slots = static_cast<std::size_t>(static_cast<double>(cost.slots) * m_policy.engines.slotShare);
+    const auto free = freeSlots(engines, m_ledger.byBackend(), slots);
+    auto left = enginesBehind(note.before, engines, free);
+    if (!left.empty()) {
+        engines = std::move(left);
+        return false;
+    }
+    if (own == m_ledger.own().end()) {
+        m_ledger.open(std::move(item));
+    }
+    return true;
+}
+
+void EntryPlacement::leftQueue(const CallWork &work)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.close(itemKey(work, WaitingAttempt));
+}
+
+std::optional<EngineChoice> EntryPlacement::bestEngines(const CallWork &work,
+                                                        const EngineCost &cost,
+                                                        const std::vector<EngineCandidate> &engines,
+                                                        Instant now,
+                                                        ChoiceNote &note)
+{
     auto choice =
-        chooseEngines(promptOf(work), cost, candidates, m_ledger.byBackend(), demand(now), m_policy.engines, now);
+        chooseEngines(promptOf(work), cost, engines, m_ledger.byBackend(), demand(now), m_policy.engines, now);
     if (choice) {
         note.predictedFirst = choice->predictedFirst;
         note.loss = choice->loss;
@@ -236,7 +293,8 @@
     m_ledger.expire(now);
     const auto *engine = engineOf(work.service);
     ChoiceNote note;
-    const auto choice = engine ? bestEngines(work, *engine, avoid, now, note) : std::nullopt;
+    const auto choice =
+        engine ? bestEngines(work, *engine, candidates(work, avoid, now, note), now, note) : std::nullopt;
     if (!choice) {
         return std::nullopt;
     }
@@ -353,6 +411,7 @@
         health(part.backend).breaker.sent(now);
     }
     noteAttempt(item, now);
+    m_ledger.close(itemKey(work, WaitingAttempt));
     m_ledger.open(std::move(item));
 }
 
--- a/src/libpomeloentry/entryplacement_test.cpp
+++ b/src/libpomeloentry/entryplacement_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <set>
 
 using namespace pomeloentry;
@@ -229,3 +230,72 @@
     }
     CHECK(first.size() >= 4);
 }
+
+// Seen on the grown deployments: in a burst that needs all slots, each slot that became free drew the prompts of many
+// instances within the few milliseconds that news take, and all but one waited there for seconds.
+TEST_CASE("a slot that becomes free draws one of the prompts that wait on many instances", "[entryplacement]")
+{
+    constexpr std::size_t Instances = 20;
+    constexpr std::uint32_t Slots = 4;
+    std::vector<std::unique_ptr<EntryPlacement>> placements;
+    for (std::size_t i = 0; i < Instances; ++i) {
+        EntryPolicy policy;
+        policy.engines.slotShare = 1;
+        placements.push_back(std::make_unique<EntryPlacement>(policy, i * 7919));
+        placements.back()->update(fleet(2, true));
+    }
+    const auto tell = [&](std::size_t from, Instant now) {
+        const auto changes = placements[from]->takeChanges(now);
+        for (std::size_t to = 0; changes && to < Instances; ++to) {
+            if (to != from) {
+                placements[to]->takeReport({std::string("e").append(std::to_string(from)), 1}, *changes, now);
+            }
+        }
+    };
+    // The first instance has filled all slots.
+    for (std::uint64_t i = 0; i < std::uint64_t{Slots} * 2; ++i) {
+        const auto work = prompt(i + 1, 1'000);
+        const auto *backend = i % 2 == 0 ? "i0" : "i1";
+        placements[0]->opened(work, 1, Route{{{backend, 0, 0}}}, {}, Start);
+        placements[0]->answered(work, 1, backend, Start + 15ms);
+    }
+    tell(0, Start);
+    const auto choose = [&](std::size_t i, Instant now) {
+        auto work = prompt(100 + i, 2'000);
+        work.arrival = Start + std::chrono::milliseconds(i);
+        ChoiceNote note;
+        const auto decision = placements[i]->choose(work, RouteQuery{nullptr, 1, {}}, now, note);
+        const auto *route = std::get_if<Route>(&decision);
+        if (route) {
+            placements[i]->opened(work, 1, *route, {}, now);
+        }
+        return route ? std::optional(route->members.front().backend) : std::nullopt;
+    };
+    for (std::size_t i = 1; i < Instances; ++i) {
+        CHECK_FALSE(choose(i, Start + 20ms));
+        tell(i, Start + 20ms);
+    }
+    placements[0]->closed(prompt(1, 1'000), 1, "i0", Outcome::Completed, Start + 40ms);
+    placements[0]->closed(prompt(2, 1'000), 1, "i1", Outcome::Completed, Start + 40ms);
+    tell(0, Start + 40ms);
+    // All look before they hear what the others did.
+    std::vector<std::string> taken;
+    for (std::size_t i = 1; i < Instances; ++i) {
+        if (auto backend = choose(i, Start + 41ms)) {
+            taken.push_back(*backend);
+        }
+    }
+    std::ranges::sort(taken);
+    CHECK(taken == std::vector<std::string>{"i0", "i1"});
+    for (std::size_t i = 1; i < Instances; ++i) {
+        tell(i, Start + 45ms);
+    }
+    // A newcomer does not overtake those that wait.
+    placements[0]->closed(prompt(3, 1'000), 1, "i0", Outcome::Completed, Start + 50ms);
+    ChoiceNote note;
+    auto newcomer = prompt(500, 2'000);
+    newcomer.arrival = Start + 50ms;
+    CHECK(std::holds_alternative<WaitUntil>(
+        placements[0]->choose(newcomer, RouteQuery{nullptr, 1, {}}, Start + 50ms, note)));
+    CHECK(note.before == Instances - 1 - 2);
+}
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -112,6 +112,7 @@
     if (m_tickets) {
         m_tickets->release();
     }
+    m_core->placement.leftQueue(m_call.work);
     --m_core->openCalls;
 }
 
@@ -165,6 +166,7 @@
                   {"predicted_ms", note.predictedFirst.count() / 1000},
                   {"loss", note.loss},
                   {"damage", note.damage},
+                  {"before", note.before},
                   {"waited_ms", (now - m_call.work.arrival).count() / 1000}});
     }
     return decision;
@@ -441,6 +443,7 @@
     m_timer.cancel();
     m_groupTimer.cancel();
     m_finished = true;
+    m_core->placement.leftQueue(m_call.work);
     if (m_tickets) {
         std::exchange(m_tickets, nullptr)->release();
     }
--- a/src/libpomeloentry/peertable_test.cpp
+++ b/src/libpomeloentry/peertable_test.cpp
@@ -55,7 +55,7 @@
 {
     auto sent = message(EntryState::Ready);
     sent.known = {5, 9};
-    sent.work.items.push_back({77, true, false, 10, 5, -20, 250, 30, 1.5F, {{3, 12.5F, 900}}});
+    sent.work.items.push_back({77, 0, true, false, 10, 5, -20, 250, 30, 1.5F, {{3, 12.5F, 900}}});
     sent.work.ended = {1, 2};
     const auto bytes = pomeloport::detail::encodeCompact(sent);
     const auto read = pomeloport::detail::decodeCompact<PeerMessage>(bytes);
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -1,5 +1,7 @@
 #include "pomeloentry/workledger.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -27,6 +29,7 @@
 {
     WorkNotice result;
     result.key = item.key;
+    result.waitsFor = item.waitsFor;
     result.writing = item.writing;
     result.repeat = item.repeat;
     result.ageMs = milliseconds<std::uint32_t>(now - item.startedAt);
@@ -43,6 +46,7 @@
 {
     WorkItem item;
     item.key = notice.key;
+    item.waitsFor = notice.waitsFor;
     item.writing = notice.writing;
     item.repeat = notice.repeat;
     item.startedAt = now - std::chrono::milliseconds(notice.ageMs);
@@ -57,11 +61,18 @@
 
 } // namespace
 
+std::uint32_t serviceKey(const std::string &service)
+{
+    return XXH32(service.data(), service.size(), 0) | 1U;
+}
+
 void WorkLedger::open(WorkItem item)
 {
     m_indexed = false;
     m_changed.push_back(item.key);
-    noteArrival(item, item.startedAt);
+    if (item.waitsFor == 0) {
+        noteArrival(item, item.startedAt);
+    }
     const auto key = item.key;
     m_own[key] = std::move(item);
 }
@@ -108,7 +119,7 @@
         const bool fresh = !known.items.contains(told.key);
         auto &item = known.items[told.key];
         item = itemOf(told, now);
-        if (fresh) {
+        if (fresh && item.waitsFor == 0) {
             noteArrival(item, now);
             if (arrival) {
                 arrival(item);
@@ -165,6 +176,23 @@
     return m_index;
 }
 
+std::vector<const WorkItem *> WorkLedger::waiting(std::uint32_t service) const
+{
+    std::vector<const WorkItem *> result;
+    const auto add = [&result, service](const std::map<std::uint64_t, WorkItem> &items) {
+        for (const auto &[key, item] : items) {
+            if (item.waitsFor == service) {
+                result.push_back(&item);
+            }
+        }
+    };
+    add(m_own);
+    for (const auto &[name, sender] : m_others) {
+        add(sender.items);
+    }
+    return result;
+}
+
 WorkReport WorkLedger::takeChanges(Instant now)
 {
     WorkReport report;
