Deal free slots out to the prompts that wait for them

Cause: two prompts with unlike turns could still choose one engine, as the new test shows. Change: the free slots are dealt in turn to all prompts that want one, so each has engines of its own.

--- a/src/include/pomeloentry/slotqueue.h
+++ b/src/include/pomeloentry/slotqueue.h
@@ -25,10 +25,12 @@
                                    const WorkLedger::ByBackend &inFlight,
                                    std::size_t slots);
 
-/// The engines that are left when those who come before take a free slot each. All instances hand out slots in one
-/// order, so that prompts with unlike numbers before them take unlike slots.
-std::vector<EngineCandidate> enginesBehind(std::size_t before,
-                                           const std::vector<EngineCandidate> &engines,
-                                           const std::vector<std::size_t> &free);
+/// The engines at which this prompt may take a slot: the free slots are dealt out to all that want one, itself
+/// included, in the order of their turns. All instances deal alike, so that two prompts get one slot only where their
+/// views differ.
+std::vector<EngineCandidate> dealtEngines(std::size_t turn,
+                                          std::size_t wanting,
+                                          const std::vector<EngineCandidate> &engines,
+                                          const std::vector<std::size_t> &free);
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -157,8 +157,8 @@
     return result;
 }
 
-/// Leaves the engines whose slots are not taken by prompts that come before this one. Returns whether there are none:
-/// then the prompt waits, and others are told.
+/// Leaves the engines at which the prompt may take a slot. Returns whether there are none: then it waits, and others are
+/// told.
 bool EntryPlacement::queueForSlot(const CallWork &work,
                                   const EngineCost &cost,
                                   std::vector<EngineCandidate> &engines,
@@ -179,9 +179,10 @@
     note.before = waitingBefore(ranked, waiting, startTime, now);
     const auto slots = static_cast<std::size_t>(static_cast<double>(cost.slots) * m_policy.engines.slotShare);
     const auto free = freeSlots(engines, m_ledger.byBackend(), slots);
-    auto left = enginesBehind(note.before, engines, free);
-    if (!left.empty()) {
-        engines = std::move(left);
+    const auto wanting = waiting.size() + (own == m_ledger.own().end() ? 1 : 0);
+    auto dealt = dealtEngines(note.before, wanting, engines, free);
+    if (!dealt.empty()) {
+        engines = std::move(dealt);
         return false;
     }
     if (own == m_ledger.own().end()) {
--- a/src/libpomeloentry/slotqueue.cpp
+++ b/src/libpomeloentry/slotqueue.cpp
@@ -36,18 +36,29 @@
     return result;
 }
 
-std::vector<EngineCandidate> enginesBehind(std::size_t before,
-                                           const std::vector<EngineCandidate> &engines,
-                                           const std::vector<std::size_t> &free)
+std::vector<EngineCandidate> dealtEngines(std::size_t turn,
+                                          std::size_t wanting,
+                                          const std::vector<EngineCandidate> &engines,
+                                          const std::vector<std::size_t> &free)
 {
     std::vector<std::size_t> order(engines.size());
     std::iota(order.begin(), order.end(), 0);
     std::ranges::sort(order, {}, [&engines](std::size_t index) { return engines[index].key; });
+    std::vector<bool> mine(engines.size(), false);
+    std::size_t dealt = 0;
+    const auto most = free.empty() ? 0 : *std::ranges::max_element(free);
+    // The first slot of each engine comes before the second of any.
+    for (std::size_t round = 0; round < most; ++round) {
+        for (const auto index : order) {
+            if (round < free[index]) {
+                mine[index] = mine[index] || dealt % wanting == turn;
+                ++dealt;
+            }
+        }
+    }
     std::vector<EngineCandidate> result;
-    for (const auto index : order) {
-        const auto taken = std::min(before, free[index]);
-        before -= taken;
-        if (free[index] > taken) {
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        if (mine[index]) {
             result.push_back(engines[index]);
         }
     }
--- a/src/libpomeloentry/slotqueue_test.cpp
+++ b/src/libpomeloentry/slotqueue_test.cpp
@@ -33,13 +33,16 @@
     CHECK(waitingBefore(waiting(4, 300ms), all, 50ms, Now) == 1);
 }
 
-TEST_CASE("each that waits is left another slot", "[slotqueue]")
+TEST_CASE("free slots are dealt out to all that want one", "[slotqueue]")
 {
     const std::vector<EngineCandidate> engines{{30, nullptr, 1, 0}, {10, nullptr, 1, 0}, {20, nullptr, 1, 0}};
     const std::vector<std::size_t> free{1, 2, 0};
-    CHECK(enginesBehind(0, engines, free).size() == 2);
-    REQUIRE(enginesBehind(1, engines, free).size() == 2);
-    REQUIRE(enginesBehind(2, engines, free).size() == 1);
-    CHECK(enginesBehind(2, engines, free).front().key == 30);
-    CHECK(enginesBehind(3, engines, free).empty());
+    // Slots in order: 10, 30, 10 again.
+    CHECK(dealtEngines(0, 1, engines, free).size() == 2);
+    REQUIRE(dealtEngines(0, 5, engines, free).size() == 1);
+    CHECK(dealtEngines(0, 5, engines, free).front().key == 10);
+    CHECK(dealtEngines(1, 5, engines, free).front().key == 30);
+    CHECK(dealtEngines(2, 5, engines, free).front().key == 10);
+    CHECK(dealtEngines(3, 5, engines, free).empty());
+    CHECK(dealtEngines(0, 1, {}, {}).empty());
 }
