--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -296,6 +296,9 @@
         if (tight && !first.load.tight) {
             loss += m_work.worth * m_policy.spreadCost;
         }
+        if (first.load.requests + 1 >= m_cost.slots) {
+            loss += m_work.worth * m_policy.lastSlotCost;
+        }
         loss += first.tieLoss;
         if (!result || loss < result->loss) {
             choice.loss = loss;
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -34,6 +34,7 @@
     readShare(reader, "spread_cost", policy.spreadCost);
     readShare(reader, "delay_cost", policy.delayCost);
     readShare(reader, "tie_share", policy.tieShare);
+    readShare(reader, "last_slot_cost", policy.lastSlotCost);
     readShare(reader, "helper_cost", policy.helperCost);
     readShare(reader, "reading_price", policy.readingPrice);
     readShare(reader, "busy_from", policy.busyFrom);
