--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -98,7 +98,7 @@
     double tieShare = 0.1;
     /// Share of worth that it costs to take the last free slot of an engine: another instance may be about to take it,
     /// and one of the two then waits there for the next.
-    double lastSlotCost = 0.3;
+    double lastSlotCost = 0.1;
     /// Worth that each further engine costs: one more that may fail.
     double helperCost = 0.03;
     /// Share of worth that it costs to set memory aside at another engine.
--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -196,8 +196,9 @@
                                                           Instant now,
                                                           ChoiceNote &note) const;
     Instant lastStart(const CallWork &work, const EngineCost &cost) const;
+    bool mayHold(const CallWork &work, const EngineCost &cost, Instant now) const;
     EngineDemand demand(Instant now) const;
-    PromptWork promptOf(const CallWork &work) const;
+    PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, ChoiceNote &note) const;
     void book(const CallWork &work,
@@ -225,6 +226,10 @@
     std::uint64_t m_turn = 0;
 };
 
+/// When the first event must come for the whole answer to be in time, if it is written beside as many others as the
+/// engine takes.
+Instant lastFirstEvent(const CallWork &work, const EngineCost &cost);
+
 /// Tokens of memory that a call holds at the engine that answers it.
 std::uint64_t memoryTokens(const CallWork &work);
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -29,6 +29,8 @@
 constexpr double RiskPenalty = 10;
 /// When a caller may ask again that found no place.
 constexpr std::chrono::milliseconds RetryAfterNoPlace{300};
+/// When the caller of a long prompt may ask again that was refused in a burst: bursts last for several seconds.
+constexpr std::chrono::milliseconds RetryAfterHeld{2000};
 /// Attempts of one request are numbered below this in the keys of work items.
 constexpr std::uint64_t AttemptsPerCall = 256;
 /// The number that stands for a call that waits for a slot.
@@ -204,7 +206,7 @@
                                                         ChoiceNote &note)
 {
     auto choice =
-        chooseEngines(promptOf(work), cost, engines, m_ledger.byBackend(), demand(now), m_policy.engines, now);
+        chooseEngines(promptOf(work, cost), cost, engines, m_ledger.byBackend(), demand(now), m_policy.engines, now);
     if (choice) {
         note.predictedFirst = choice->predictedFirst;
         note.loss = choice->loss;
@@ -222,7 +224,7 @@
 {
     const auto found = m_services.find(work.service);
     const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
-    const auto prompt = promptOf(work);
+    const auto prompt = promptOf(work, cost);
     const auto &policy = m_policy.engines;
     const double price = readingPrice(prompt, cost, choice, engines, demand(now), policy);
     const bool isLong = readingMs(cost, static_cast<double>(work.promptTokens)) >= policy.heldReadingMs;
@@ -234,7 +236,7 @@
             return std::nullopt;
         }
         note.reason = "reading it would delay prompts that are worth more";
-        if (now < lastStart(work, cost)) {
+        if (mayHold(work, cost, now)) {
             return WaitUntil{now + m_policy.waitStep};
         }
     }
@@ -243,7 +245,24 @@
         return std::nullopt;
     }
     note.reason = "its answer would come too late for what it costs others";
-    return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, RetryAfterNoPlace};
+    return Failure{
+        Verdict::NotRun, ReasonCode::Overloaded, note.reason, isLong ? RetryAfterHeld : RetryAfterNoPlace};
+}
+
+/// Prompts that are served in the end although that costs others more are held up to the last moment; the others are
+/// refused while their callers have time to come back.
+bool EntryPlacement::mayHold(const CallWork &work, const EngineCost &cost, Instant now) const
+{
+    const auto span = work.deadline - work.arrival;
+    const auto refusal = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.longestWait);
+    return now < lastStart(work, cost) && (fairDraw(work) < m_policy.fairShare || now < refusal);
+}
+
+Instant lastFirstEvent(const CallWork &work, const EngineCost &cost)
+{
+    const double events = static_cast<double>(work.answerTokens) / std::max(cost.stepsPerPass, 1.0);
+    const double writingMs = events * passMs(cost, static_cast<double>(cost.slots), 0);
+    return std::min(work.abandoned, work.deadline - pomeloport::fromSeconds(writingMs / MsPerSecond));
 }
 
 /// When a held prompt must start to be answered at all, read by a part of the engines.
@@ -254,7 +273,7 @@
     const double readers = std::clamp(
         static_cast<double>(engines) * m_policy.heldReaders, 1.0, static_cast<double>(m_policy.engines.maximumHelpers));
     const double readMs = readingMs(cost, static_cast<double>(work.promptTokens)) / readers;
-    return work.abandoned - pomeloport::fromSeconds(readMs / 1000) - m_policy.heldMargin;
+    return lastFirstEvent(work, cost) - pomeloport::fromSeconds(readMs / MsPerSecond) - m_policy.heldMargin;
 }
 
 EngineDemand EntryPlacement::demand(Instant now) const
@@ -262,13 +281,13 @@
     return {m_ledger.readingRate(now), m_ledger.tightRate(m_policy.engines.tightGap, now)};
 }
 
-PromptWork EntryPlacement::promptOf(const CallWork &work) const
+PromptWork EntryPlacement::promptOf(const CallWork &work, const EngineCost &cost) const
 {
     return {work.promptTokens,
             work.answerTokens,
             work.eventGap,
             work.arrival + work.target,
-            work.abandoned,
+            lastFirstEvent(work, cost),
             worthOf(work),
             m_seed ^ (work.sequence * OrderFactor)};
 }
--- a/src/libpomeloentry/entryplacement_test.cpp
+++ b/src/libpomeloentry/entryplacement_test.cpp
@@ -299,3 +299,54 @@
         placements[0]->choose(newcomer, RouteQuery{nullptr, 1, {}}, Start + 50ms, note)));
     CHECK(note.before == Instances - 1 - 2);
 }
+
+// Seen on klo-satchel-grown trouble-3: prompts that were held up to the last moment were read in time, and the deadline
+// passed while their answers were written.
+TEST_CASE("a held prompt starts early enough to be answered whole", "[entryplacement]")
+{
+    EngineCost cost;
+    cost.slots = 10;
+    cost.stepMs = 2;
+    cost.stepsPerPass = 40;
+    auto work = prompt(1, 300'000);
+    work.answerTokens = 800;
+    work.abandoned = work.deadline;
+    // Twenty events, one a pass of 80 ms.
+    CHECK(lastFirstEvent(work, cost) == work.deadline - 1600ms);
+    work.abandoned = Start + 2s;
+    CHECK(lastFirstEvent(work, cost) == Start + 2s);
+}
+
+// Seen on the same day: prompts were held for 8 to 13 of their 15 seconds and refused then.
+TEST_CASE("a prompt that is not going to be served is refused while its caller has time to come back", "[entryplacement]")
+{
+    EntryPolicy policy;
+    policy.fairShare = 0;
+    policy.engines.heldReadingMs = 100;
+    EntryPlacement placement(policy);
+    placement.update(fleet(1, true));
+    // Tight streams that a long read would stretch, worth more than it.
+    for (std::uint64_t i = 1; i <= 2; ++i) {
+        auto stream = prompt(i, 20'000);
+        stream.eventGap = 60ms;
+        placement.opened(stream, 1, Route{{{"i0", 0, 0}}}, {}, Start);
+        placement.answered(stream, 1, "i0", Start);
+    }
+    auto work = prompt(9, 50'000);
+    work.target = 3s;
+    work.abandoned = work.deadline;
+    ChoiceNote note;
+    const auto latest = Start + pomeloport::fromSeconds(10 * policy.longestWait) + policy.waitStep;
+    std::optional<Instant> refusedAt;
+    for (auto now = Start; now < work.deadline && !refusedAt; now += policy.waitStep) {
+        const auto decision = placement.choose(work, RouteQuery{nullptr, 1, {}}, now, note);
+        REQUIRE_FALSE(std::holds_alternative<Route>(decision));
+        if (const auto *failure = std::get_if<Failure>(&decision)) {
+            CHECK(failure->verdict == Verdict::NotRun);
+            CHECK(failure->retryAfter.has_value());
+            refusedAt = now;
+        }
+    }
+    REQUIRE(refusedAt);
+    CHECK(*refusedAt <= latest);
+}
