--- a/src/include/pomeloentry/storereaders.h
+++ b/src/include/pomeloentry/storereaders.h
@@ -31,8 +31,9 @@
 /// The candidates among the other live instances: those that are not leaving.
 std::vector<ReaderCandidate> readerCandidates(const std::vector<PeerView> &peers);
 
-/// Whether this instance is to read the store. All instances rank the candidates of a failure domain in one order, so that views which differ a little choose nearly
-/// the same readers. An instance that the store does not answer is replaced by the next one.
+/// Whether this instance is to read the store. All instances rank the candidates of a failure domain in one order, so
+/// that views which differ a little choose nearly the same readers. An instance that the store does not answer is
+/// replaced by the next one.
 bool readsStore(const ReaderCandidate &self, const std::vector<ReaderCandidate> &others);
 
 /// Whether this instance ranks first among all candidates that the store answers; it clears away what is left of
--- a/src/libpomeloentry/entrydirectory.cpp
+++ b/src/libpomeloentry/entrydirectory.cpp
@@ -166,9 +166,7 @@
         send(call, [name = object.name, silent = now - since](const StoreReply &reply) {
             logEvent(LogLevel::Info,
                      "instance_removed",
-                     {{"instance", name},
-                      {"silent_ms", silent.count() / 1000},
-                      {"status", nameOf(reply.status)}});
+                     {{"instance", name}, {"silent_ms", silent.count() / 1000}, {"status", nameOf(reply.status)}});
         });
     }
 }
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -159,8 +159,8 @@
     return result;
 }
 
-/// Leaves the engines at which the prompt may take a slot. Returns whether there are none: then it waits, and others are
-/// told.
+/// Leaves the engines at which the prompt may take a slot. Returns whether there are none: then it waits, and others
+/// are told.
 bool EntryPlacement::queueForSlot(const CallWork &work,
                                   const EngineCost &cost,
                                   std::vector<EngineCandidate> &engines,
@@ -245,8 +245,7 @@
         return std::nullopt;
     }
     note.reason = "its answer would come too late for what it costs others";
-    return Failure{
-        Verdict::NotRun, ReasonCode::Overloaded, note.reason, isLong ? RetryAfterHeld : RetryAfterNoPlace};
+    return Failure{Verdict::NotRun, ReasonCode::Overloaded, note.reason, isLong ? RetryAfterHeld : RetryAfterNoPlace};
 }
 
 /// Prompts that are served in the end although that costs others more are held up to the last moment; the others are
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -407,10 +407,10 @@
         return;
     }
     // Instances of one failure domain serve each other, and any one that is ahead will do.
-    const auto far = std::ranges::partition(
-        ahead, [this](const auto *peer) { return peer->failureDomain == m_core->settings.failureDomain; });
-    const auto choices = static_cast<std::size_t>(far.begin() == ahead.begin() ? std::ssize(ahead)
-                                                                                : far.begin() - ahead.begin());
+    const auto far = std::partition(ahead.begin(), ahead.end(), [this](const auto *peer) {
+        return peer->failureDomain == m_core->settings.failureDomain;
+    });
+    const auto choices = static_cast<std::size_t>(far == ahead.begin() ? std::ssize(ahead) : far - ahead.begin());
     static thread_local std::mt19937_64 random{std::random_device{}()};
     pull(ahead[random() % choices]->address);
 }
--- a/src/libpomeloentry/peertable.cpp
+++ b/src/libpomeloentry/peertable.cpp
@@ -23,9 +23,10 @@
         return XXH64(instance.callerAddress.data(), instance.callerAddress.size(), 0);
     };
     std::ranges::sort(ready, {}, rank);
-    const auto far = std::ranges::stable_partition(
-        ready, [&failureDomain](const auto &instance) { return instance.failureDomain == failureDomain; });
-    const auto near = ready.size() - far.size();
+    const auto far = std::stable_partition(ready.begin(), ready.end(), [&failureDomain](const auto &instance) {
+        return instance.failureDomain == failureDomain;
+    });
+    const auto near = static_cast<std::size_t>(far - ready.begin());
     ready.resize(std::min(near >= EnoughNear ? near : ready.size(), MostNamed));
     std::vector<std::string> result;
     for (auto &instance : ready) {
--- a/src/libpomeloentry/slotqueue.cpp
+++ b/src/libpomeloentry/slotqueue.cpp
@@ -28,8 +28,8 @@
         const auto placed = inFlight.find(engine.key);
         std::size_t taken = 0;
         if (placed != inFlight.end()) {
-            taken = static_cast<std::size_t>(
-                std::ranges::count(placed->second, std::size_t{0}, &WorkLedger::Placed::part));
+            taken =
+                static_cast<std::size_t>(std::ranges::count(placed->second, std::size_t{0}, &WorkLedger::Placed::part));
         }
         result.push_back(slots - std::min(taken, slots));
     }
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -148,7 +148,8 @@
 
 double WorkLedger::heardShare(Instant now) const
 {
-    const auto heard = std::ranges::count_if(m_senders, [now](const auto &entry) { return now - entry.second <= Expiry; });
+    const auto heard =
+        std::ranges::count_if(m_senders, [now](const auto &entry) { return now - entry.second <= Expiry; });
     return static_cast<double>(heard + 1) / static_cast<double>(m_senders.size() + 1);
 }
 
--- /dev/null
+++ b/testsuite/faultsoak/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# A short run of the randomized fault soak; the seeds that ever failed are listed in testsuite/soak/seeds.txt.
+set -euo pipefail
+BIN=$(cd "$1" && pwd)
+cd "$(dirname "$0")/../soak"
+seeds=$(sed 's/#.*//' seeds.txt | tr -s ' \n' ',' | sed 's/^,//; s/,$//')
+POMELO_NET=127.47 python3 soak.py "$BIN" --seeds "$seeds" --seconds 8
