Read a holder's object again before its engine is taken

Ruled out: stale grants (versions below one seen are ignored), the holder's own clock (it lapses when it wakes). Change: a break counts only if it was read after the version of the grants that name the holder.

--- a/src/include/pomeloport/coordination/leases.h
+++ b/src/include/pomeloport/coordination/leases.h
@@ -104,6 +104,8 @@
         /// The process that wrote it; nothing when the lease was broken or the object is absent.
         std::optional<OwnerId> owner;
         bool broken = false;
+        /// Version of the grants that were known when it was read.
+        std::uint64_t grantsVersion = 0;
     };
 
     StoreCall makeCall(Purpose purpose,
--- a/src/libpomeloport/coordination/leases.cpp
+++ b/src/libpomeloport/coordination/leases.cpp
@@ -165,7 +165,9 @@
     const std::string &instance = owner.instance;
     const auto known = m_others.find(instance);
     m_otherInstance = instance;
-    if (known == m_others.end() || now - known->second.readAt >= m_limits.retryDelay) {
+    const bool outdated =
+        known != m_others.end() && known->second.broken && known->second.grantsVersion != m_grantsVersion.value_or(0);
+    if (known == m_others.end() || outdated || now - known->second.readAt >= m_limits.retryDelay) {
         return makeCall(Purpose::ReadOther, StoreOperation::Get, holderName(instance), 0, {});
     }
     const Observation &seen = known->second;
@@ -192,7 +194,9 @@
         return false;
     }
     const Observation &seen = known->second;
-    return seen.broken || (seen.owner && seen.owner->incarnation > grant.owner.incarnation);
+    // A break that was read before these grants says nothing of them: the holder may have taken the engine again since.
+    const bool broken = seen.broken && m_grantsVersion && seen.grantsVersion == *m_grantsVersion;
+    return broken || (seen.owner && seen.owner->incarnation > grant.owner.incarnation);
 }
 
 EngineGrants LeaseKeeper::wantedGrants(std::uint64_t fencingNumber) const
@@ -339,6 +343,7 @@
     const auto known = m_others.find(m_otherInstance);
     if (known != m_others.end() && version < known->second.version) {
         known->second.readAt = now;
+        known->second.grantsVersion = 0;
         return;
     }
     const bool same = known != m_others.end() && known->second.version == version;
@@ -348,6 +353,7 @@
     seen.readAt = now;
     seen.owner = ownerIn(value);
     seen.broken = !value.empty() && !seen.owner;
+    seen.grantsVersion = m_grantsVersion.value_or(0);
     m_others[m_otherInstance] = seen;
 }
 
--- a/src/libpomeloport/coordination/leases_test.cpp
+++ b/src/libpomeloport/coordination/leases_test.cpp
@@ -50,6 +50,8 @@
     pomelofake::PlatformModel store;
     std::array<LeaseKeeper, 2> keepers{LeaseKeeper({"r1", 1}, "qld"), LeaseKeeper({"r2", 1}, "qld")};
     std::array<bool, 2> paused{};
+    /// Pauses the second holder as soon as it has broken the lease of the first.
+    bool pauseAfterBreak = false;
     Instant now{1h};
 
 private:
@@ -64,6 +66,10 @@
             for (const auto &reply : store.advance(now)) {
                 keepers[i].answered(reply.reply, now);
             }
+            if (pauseAfterBreak && i == 1 && call->value.find("broken_by") != std::string::npos) {
+                paused[i] = true;
+                return;
+            }
         }
     }
 };
@@ -110,6 +116,27 @@
     CHECK(bench.owners(true) == 1);
 }
 
+// Seen in the fault matrix (seed 1, instance_pauses+datagram_loss/end/engine_action): an instance that had read a break
+// took the engine after its woken holder had taken it again, and both gave orders.
+TEST_CASE("holder that takes its engine again after a break keeps it")
+{
+    LeaseBench bench;
+    bench.keepers[0].setWanted({"e1"});
+    bench.run(40s);
+    bench.keepers[1].setWanted({"e1"});
+    bench.paused[0] = true;
+    bench.pauseAfterBreak = true;
+    bench.run(100s);
+    REQUIRE(bench.paused[1]);
+    bench.pauseAfterBreak = false;
+    bench.paused[0] = false;
+    bench.run(5s);
+    REQUIRE(bench.keepers[0].mayOrder("e1", true, bench.now));
+    bench.paused[1] = false;
+    bench.run(200s);
+    CHECK(bench.keepers[0].mayOrder("e1", true, bench.now));
+}
+
 TEST_CASE("lease ends for its holder during an outage and is taken again afterwards")
 {
     LeaseBench bench;
