--- a/src/pomeloctl/commands.cpp
+++ b/src/pomeloctl/commands.cpp
@@ -5,9 +5,11 @@
 #include "output.h"
 
 #include "pomeloport/lastreason.h"
+#include "pomeloport/requeststory.h"
 
 #include <boost/json.hpp>
 
+#include <fstream>
 #include <iostream>
 
 namespace pomeloctl
@@ -81,8 +83,41 @@
     return printAnswer("drain", client.callAddress(*address, "POST", "/v1/operator/drain"), options.output);
 }
 
+/// Prints the story of a request from the log files that the arguments name behind it.
+ExitCode explainFromLogs(const Options &options)
+{
+    pomeloport::RequestStory story(options.arguments[0]);
+    for (auto name = options.arguments.begin() + 1; name != options.arguments.end(); ++name) {
+        std::ifstream log(*name);
+        if (!log) {
+            pomeloport::setLastReason(*name + " cannot be read");
+            return fail("explain");
+        }
+        story.read(*name, log);
+    }
+    const auto lines = story.lines();
+    if (lines.empty()) {
+        pomeloport::setLastReason("no log has this request");
+        return fail("explain");
+    }
+    boost::json::array entries;
+    for (const auto &line : lines) {
+        entries.emplace_back(line.text);
+        if (options.output == OutputFormat::Table) {
+            std::cout << line.source << ": " << line.text << '\n';
+        }
+    }
+    if (options.output == OutputFormat::Json) {
+        print(std::cout, {{"lines", std::move(entries)}}, options.output);
+    }
+    return Success;
+}
+
 ExitCode explain(const Options &options)
 {
+    if (options.arguments.size() > 1) {
+        return explainFromLogs(options);
+    }
     pomeloport::setLastReason("no endpoint is given");
     for (const auto &address : options.connection.endpoints) {
         const auto answer = OperatorClient(options.connection)
--- a/src/pomeloctl/commandtable.cpp
+++ b/src/pomeloctl/commandtable.cpp
@@ -3,6 +3,9 @@
 namespace pomeloctl
 {
 
+/// One log of each instance of a large fleet.
+constexpr std::size_t MostLogs = 1000;
+
 const std::vector<Command> &commands()
 {
     static const std::vector<Command> table = {
@@ -37,11 +40,12 @@
           1},
          drain},
         {{"explain",
-          "REQUEST",
+          "REQUEST [LOG...]",
           "Show why a request went where it went",
-          "Asks each endpoint in turn; instances remember their recent requests only.\n",
+          "Asks each endpoint in turn; instances remember their recent requests only. With log files of pomelo-entry,\n"
+          "prints by time the lines of the request and what its instance learned meanwhile.\n",
           1,
-          1},
+          MostLogs},
          explain},
     };
     return table;
--- a/testsuite/platformpath/run.sh
+++ b/testsuite/platformpath/run.sh
@@ -77,7 +77,19 @@
 until_true "the leaving server gets no calls" only_second
 grep -q 'event=dependency_lost dependency=store' "$WORK/entry-1.log"
 until_true "the store is noted as back" grep -q 'event=dependency_regained dependency=store' "$WORK/entry-1.log"
-grep -q 'event=end id=c1 .*outcome=may_have_run' "$WORK/entry-1.log"
+# The walks of docs/OPERATIONS.md from an id to its cause.
+explain() { "$BIN/pomeloctl" explain "$1" "$WORK/entry-1.log" "$WORK/entry-2.log" | sed 's/.* event=/event=/'; }
+explain c1 >"$WORK/story"
+expect "unknown outcome: the events" "$(cut -d' ' -f1 "$WORK/story" | paste -sd' ')" \
+    "event=admitted event=choice event=attempt_broken event=end"
+grep -q 'event=attempt_broken .*delivered=0' "$WORK/story"
+grep -q 'event=end .*outcome=may_have_run' "$WORK/story"
+explain a3 >"$WORK/story"
+grep -q 'event=rejected .*status=401 reason=unauthorised' "$WORK/story"
+for i in 1 2; do explain "b$i"; done >"$WORK/story"
+grep -q 'event=attempt_broken .*delivered=4' "$WORK/story"
+grep -q 'event=end .*outcome=answered .*attempts=2' "$WORK/story"
+expect "a request that no log has" "$(explain none 2>&1)" "pomeloctl explain: no log has this request"
 
 kill -TERM "${PIDS[entry-1]}"
 not_ready() { ! ready "$E1"; }
