Let the soak insist on calls to a paused store

Cause: ended with an error of the soak itself: a server that leaves was removed while the store was paused, and the call's time-out was not caught. Ruled out: a fault of the programs; the trace ends in world.store_call. Change: such calls are repeated until the store answers.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -104,7 +104,7 @@
         await process.end()
         await asyncio.sleep(self.random.uniform(0.2, 2.0))
         await process.start()
-        await self.world.announce(index, name, "ready")
+        await self.insist(lambda: self.world.announce(index, name, "ready"))
         self.busy.discard(f"runner {index}")
 
     async def pause_runner(self):
@@ -139,12 +139,19 @@
             return
         self.world.drained[name] = now()
         await asyncio.sleep(4.5)
-        await self.world.store_call("POST", f"/remove?kind=servers&name={name}")
+        await self.insist(lambda: self.world.store_call("POST", f"/remove?kind=servers&name={name}"))
         await process.end()
         self.generation += 1
-        await self.world.add_runner(index, f"i-{index}-{self.generation}")
+        next_name = f"i-{index}-{self.generation}"
+        await self.world.start_runner(index, next_name)
+        await self.insist(lambda: self.world.announce(index, next_name, "ready"))
         self.busy.discard(f"runner {index}")
 
+    async def insist(self, call):
+        """Repeats a call to the store, which may be paused, until it is answered."""
+        while not await self.try_store(call()):
+            await asyncio.sleep(0.2)
+
     async def try_store(self, call):
         try:
             await call
--- a/testsuite/soak/world.py
+++ b/testsuite/soak/world.py
@@ -194,6 +194,10 @@
         await process.start()
 
     async def add_runner(self, index, name):
+        await self.start_runner(index, name)
+        await self.announce(index, name, "ready")
+
+    async def start_runner(self, index, name):
         real, seen = (f"{NET}.1.{index + 1}", 8000), (f"{NET}.2.{index + 1}", 8000)
         if index not in self.runner_proxies:
             self.runner_proxies[index] = Proxy(seen, real)
@@ -201,7 +205,6 @@
         process = Process(name, [f"{self.programs}/platform-standin", "--runner", name, "%s:%d" % real], self.folder)
         self.runners[name] = process
         await process.start()
-        await self.announce(index, name, "ready")
 
     async def announce(self, index, name, state):
         spec = {"service": "s", "address": f"{NET}.2.{index + 1}:8000", "zone": "a", "slots": 8, "state": state}
