Wait in case.wholepath until instances are known to admit

The controller's log shows the third alive 0.3 s before; discovery names those that are known to admit, and the case waited only until all were seen alive. Ruled out: a lost instance (it served the next step of the case).

--- a/testsuite/wholepath/run.sh
+++ b/testsuite/wholepath/run.sh
@@ -7,15 +7,23 @@
 start_system 3 1 3 >&2
 issued=$(now_ms)
 engines=("$(engine_address 1)" "$(engine_address 2)" "$(engine_address 3)")
+endpoints() {
+    curl -s "http://$(router_address 1)/v1/endpoints" | python3 -c '
+import json, sys
+body = json.load(sys.stdin)
+print(sorted(e["instance"] for e in body["endpoints"]), body["lifetime_seconds"])'
+}
+all_are_listed() {
+    [ "$(endpoints | grep -o "instance-" | wc -l)" = 3 ]
+}
 memory_is_free() {
     [ "$(tokens_held_by "${engines[@]}")" = 0 ]
 }
 
 {
-    echo "endpoints: $(curl -s "http://$(router_address 1)/v1/endpoints" | python3 -c '
-import json, sys
-body = json.load(sys.stdin)
-print(sorted(e["instance"] for e in body["endpoints"]), body["lifetime_seconds"])')"
+    # An instance is seen alive shortly before it is known to admit; both are in force within 3 s.
+    wait_until 3 all_are_listed || true
+    echo "endpoints: $(endpoints)"
 
     echo "whole: $(request 1 foremen '{"kind":"lookup","prompt":"What is a clip batch?","max_tokens":4}' \
         | fields verdict chunks digest text)"
