Keep the wire's word for a route's prefix in platform/

Cause: RoutingTable's field pathPrefix was the platform's own name, outside platform/. Ruled out: any change of behaviour, the wire's field is still read by its name in platform/documents.cpp.

--- a/src/include/pomeloentry/routing.h
+++ b/src/include/pomeloentry/routing.h
@@ -51,7 +51,7 @@
     std::string name;
     std::string host;
     /// Begins and ends with a slash.
-    std::string pathPrefix;
+    std::string prefix;
     CallKind kind = CallKind::NonIdempotent;
     /// The longest time that a call may be kept waiting.
     Duration timeout = std::chrono::seconds(10);
--- a/src/libpomeloentry/routing.cpp
+++ b/src/libpomeloentry/routing.cpp
@@ -14,7 +14,7 @@
         return nullptr;
     }
     for (const auto &route : found->second) {
-        if (path.starts_with(route.pathPrefix)) {
+        if (path.starts_with(route.prefix)) {
             return &route;
         }
     }
@@ -31,7 +31,7 @@
 {
     auto &list = routes[route.host];
     const auto longer = [](const CallRoute &left, const CallRoute &right) {
-        return left.pathPrefix.size() > right.pathPrefix.size();
+        return left.prefix.size() > right.prefix.size();
     };
     list.insert(std::upper_bound(list.begin(), list.end(), route, longer), std::move(route));
 }
