--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pomeloentry/engineplacement.h"
+#include "pomeloentry/gateways.h"
 #include "pomeloentry/repeatbudget.h"
 #include "pomeloentry/routing.h"
 #include "pomeloentry/workledger.h"
@@ -55,9 +56,20 @@
     const char *reason = "";
 };
 
+/// A change of own work that other instances need to know of.
+enum class WorkChange : std::uint8_t {
+    /// Work progressed or ended.
+    Progress,
+    /// An attempt of a call without a prompt was opened.
+    Call,
+    /// An attempt of a prompt was opened or began to wait for a slot.
+    Prompt,
+};
+
 struct EntryPolicy
 {
     EnginePolicy engines;
+    GatewayPolicy gateways;
     pomeloport::BreakerLimits breaker;
     RepeatLimits repeats;
     /// Interval at which a call without a free backend server is tried again.
@@ -138,14 +150,19 @@
     /// Applies a report of another instance's work.
     void applyPeerReport(const pomeloport::OwnerId &sender, const WorkReport &report, Instant now);
 
-    /// Sets the callback that runs when there is new work to report to other instances, on the thread that opened it.
+    /// Drops what is known of an instance that no longer reports its work because it has none.
+    void forgetPeer(const pomeloport::OwnerId &sender);
+
+    /// Sets the callback that runs when there are changes to report to other instances, on the thread that made them.
     /// Call once.
-    void onOpened(std::function<void()> callback);
+    using ChangeCallback = std::function<void(WorkChange change)>;
+    void onWorkChanged(ChangeCallback callback);
 
     /// Changes to own work since the last call, for other instances; nothing when there are none. See WorkLedger for
-    /// the full reports.
+    /// the full reports and snapshots.
     std::optional<WorkReport> takeChanges(Instant now);
     std::vector<WorkReport> fullReports(Instant now);
+    std::vector<WorkReport> snapshots(Instant now);
 
     /// Whether the named backend server may get new work: it is known and not leaving.
     bool usable(const std::string &backend) const;
@@ -153,6 +170,9 @@
     /// Own attempts in flight.
     std::size_t inFlight() const;
 
+    /// Whether prompts of this instance are in flight or wait for a slot.
+    bool hasPrompts() const;
+
 private:
     /// Observed health of one incarnation of a backend server.
     struct Health
@@ -204,6 +224,7 @@
     PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace) const;
+    void reportChange(WorkChange change) const;
     void recordAttempt(const CallWork &work,
                        std::uint32_t attempt,
                        const pomeloport::Route &route,
@@ -225,7 +246,7 @@
     std::unordered_map<std::uint32_t, Health> m_health;
     WorkLedger m_ledger;
     RepeatBudget m_repeats;
-    std::function<void()> m_workOpened;
+    ChangeCallback m_workChanged;
     std::uint64_t m_rotation = 0;
 };
 
--- a/src/include/pomeloentry/entrysettings.h
+++ b/src/include/pomeloentry/entrysettings.h
@@ -24,8 +24,14 @@
     /// UDP address for peer messages and TCP address of the interface through which peers fetch state.
     std::string peerAddress;
     std::string metricsAddress;
+    /// Number of failure domains of the deployment.
+    std::size_t failureDomainCount = 1;
+    /// Processor time available to this instance, in thousandths of a core.
+    std::uint32_t processorMilli = 1000;
     /// Peer addresses of a few other instances, some of which may no longer exist.
     std::vector<std::string> seeds;
+    /// Whether the other instances have this one among their seeds.
+    bool isSeed = false;
     /// Address of the platform's store.
     std::string storeAddress;
     /// Threads that serve requests.
--- /dev/null
+++ b/src/include/pomeloentry/gateways.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "pomeloentry/peertable.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Selection of the gateways: the few instances of each failure domain that are announced to callers and that tell each
+/// other about all work in flight.
+///
+/// Built for fleets with many more instances than the traffic needs. Were every instance to take calls, each would have
+/// to tell all others about each call, so that the messages of the fleet would grow with the square of its size. The
+/// other instances stay ready: they answer discovery, serve any call that reaches them, and take the place of a gateway
+/// that falls silent. Pure functions.
+namespace pomeloentry
+{
+
+/// Limits of the number of gateways.
+struct GatewayPolicy
+{
+    /// Number of gateways of the whole fleet, shared evenly by the failure domains.
+    std::size_t fleetGateways = 24;
+    /// Minimum number in each failure domain: the sudden loss of half of them still leaves several.
+    std::size_t minimumPerDomain = 4;
+    /// Rate of calls, per second, that one processor core carries while it has headroom for a burst.
+    double callsPerCore = 100;
+};
+
+/// The properties of an instance that its rank depends on.
+struct InstanceRank
+{
+    std::string instance;
+    /// Processor time available to the instance, in thousandths of a core.
+    std::uint32_t processorMilli = 0;
+};
+
+/// Whether one instance ranks ahead of another. Instances with more processor time rank first; instances that are equal
+/// in that are ordered by the hash of their names, so that names that sort first are not favoured.
+bool ranksAhead(const InstanceRank &left, const InstanceRank &right);
+
+/// A ready instance of one failure domain.
+struct GatewayCandidate
+{
+    InstanceRank rank;
+    std::string callerAddress;
+    /// Recent rate of calls that it admitted, per second.
+    double callRate = 0;
+};
+
+/// Number of gateways in a failure domain before its load is considered.
+std::size_t baseGateways(const GatewayPolicy &policy, std::size_t failureDomains);
+
+/// Selects the gateways among the ready instances of one failure domain, in order of rank: the base number, and more
+/// while the processor time of the selected ones falls short of the domain's rate of calls. Every instance of the
+/// domain makes the same selection from the same candidates.
+std::vector<GatewayCandidate> selectGateways(std::vector<GatewayCandidate> ready,
+                                             const GatewayPolicy &policy,
+                                             std::size_t failureDomains);
+
+/// An instance that is ready for callers.
+struct ReadyInstance
+{
+    std::string failureDomain;
+    GatewayCandidate candidate;
+};
+
+/// Selects the addresses that are announced to callers in a failure domain: its gateways, so that the traffic does not
+/// cross domains, or those of all domains while fewer instances of that domain are ready than its base number. The
+/// selection changes little over time, since callers drop connections to addresses that are no longer announced.
+std::vector<std::string> announcedAddresses(const std::string &failureDomain,
+                                            const std::vector<ReadyInstance> &ready,
+                                            const GatewayPolicy &policy,
+                                            std::size_t failureDomains);
+
+} // namespace pomeloentry
--- a/src/include/pomeloentry/peertable.h
+++ b/src/include/pomeloentry/peertable.h
@@ -62,19 +62,40 @@
     }
 };
 
+/// Where another instance can be reached.
+struct PeerAddress
+{
+    /// Datagram address.
+    std::string address;
+    /// Empty while it is unknown.
+    std::string failureDomain;
+    /// Whether that instance exchanges reports of its work, see PeerMessage::exchangesWork.
+    bool exchangesWork = false;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(address, failureDomain, exchangesWork);
+    }
+};
+
 /// Properties of an instance that seldom change.
 struct PeerDescription
 {
     /// Address at which callers connect.
     std::string callerAddress;
     std::string failureDomain;
-    /// Datagram addresses of some other instances, a few per message.
-    std::vector<std::string> others;
+    /// Processor time available to the instance, in thousandths of a core.
+    std::uint32_t processorMilli = 0;
+    /// Recent rate of admitted calls, per second.
+    float callRate = 0;
+    /// Some other instances, a few per message.
+    std::vector<PeerAddress> others;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(callerAddress, failureDomain, others);
+        archive(callerAddress, failureDomain, processorMilli, callRate, others);
     }
 };
 
@@ -83,6 +104,9 @@
 struct PeerMessage
 {
     EntryState state = EntryState::Starting;
+    /// Whether the sender takes calls, so that it reports its work and needs the reports of others. An instance without
+    /// calls only shows that it is alive, at longer intervals and to its own failure domain.
+    bool exchangesWork = false;
     KnownChanges known;
     StoreContact contact = StoreContact::Unknown;
     std::optional<PeerDescription> description;
@@ -91,7 +115,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(state, known, contact, description, work);
+        archive(state, exchangesWork, known, contact, description, work);
     }
 };
 
@@ -103,67 +127,94 @@
     std::string address;
     std::string callerAddress;
     std::string failureDomain;
+    std::uint32_t processorMilli = 0;
+    float callRate = 0;
     EntryState state = EntryState::Starting;
+    bool exchangesWork = false;
     KnownChanges known;
     StoreContact contact = StoreContact::Unknown;
     Instant heardAt{};
 };
 
-/// An instance that is ready for callers.
-struct ReadyInstance
-{
-    std::string callerAddress;
-    std::string failureDomain;
+/// What a datagram changed in the table.
+enum class PeerChange : std::uint8_t {
+    None,
+    /// A known peer changed its state.
+    State,
+    /// The peer is new or has restarted.
+    Added,
 };
 
-/// Selects the addresses that are announced to callers in a failure domain. If enough instances of that domain are
-/// ready, only these are announced, so that the traffic does not cross domains; otherwise instances of all domains are.
-/// Every instance makes the same selection, and it changes little over time, since callers drop connections to
-/// addresses that are no longer announced.
-std::vector<std::string> addressesFor(const std::string &failureDomain, std::vector<ReadyInstance> ready);
-
-/// Table of the other instances. Not thread safe.
+/// Table of the other instances. An instance knows its whole failure domain, and of the other domains those instances
+/// that exchange work. Not thread safe.
 class PeerTable
 {
 public:
-    /// An instance silent for longer than this is not announced to callers: several datagrams in a row were lost.
-    static constexpr pomeloport::Duration CallerSilence = std::chrono::milliseconds(900);
+    /// A peer that exchanges work and is silent for longer than this counts as dead: several datagrams in a row were
+    /// lost.
+    static constexpr pomeloport::Duration WorkingSilence = std::chrono::milliseconds(900);
+    /// The same for other peers, whose datagrams are less frequent.
+    static constexpr pomeloport::Duration IdleSilence = std::chrono::milliseconds(3'500);
     /// Addresses from which nothing is received are dropped after this time.
     static constexpr pomeloport::Duration AddressLifetime = std::chrono::seconds(30);
 
-    /// Takes the datagram address of this instance, which is never added as a peer.
-    explicit PeerTable(std::string ownAddress);
+    /// Takes the datagram address of this instance, which is never added as a peer, and its failure domain.
+    PeerTable(std::string ownAddress, std::string failureDomain);
 
-    /// Adds an address learned from settings, store or peers. Returns whether it is new.
-    bool learn(const std::string &address, Instant now);
+    /// Adds an address learned from settings, store or peers. Returns whether it is new and belongs to an instance that
+    /// this one keeps contact with, given whether it exchanges work itself.
+    bool learn(const PeerAddress &peer, bool exchangesWork, Instant now);
 
     /// Updates the peer state from a datagram. An unknown or restarted peer is added only with a datagram that carries
-    /// its description. Returns whether the peer is new, has restarted or has changed its state.
-    bool applyMessage(const pomeloport::OwnerId &sender,
-                      const std::string &address,
-                      const PeerMessage &message,
-                      Instant now);
+    /// its description.
+    PeerChange applyMessage(const pomeloport::OwnerId &sender,
+                            const std::string &address,
+                            const PeerMessage &message,
+                            Instant now);
 
     /// Drops addresses and peers that were silent for longer than AddressLifetime.
     void expire(Instant now);
 
-    /// Addresses to send datagrams to.
-    std::vector<std::string> addresses() const;
+    /// Addresses to send heartbeats to: those of the own failure domain, those whose domain is unknown, and with
+    /// exchangesWork those of instances elsewhere that exchange work.
+    std::vector<std::string> contacts(bool exchangesWork) const;
+
+    /// The next few live peers to tell other instances about, in rotation: those of the own failure domain and those
+    /// that exchange work.
+    std::vector<PeerAddress> nextPeers(std::size_t count, Instant now);
 
-    /// The next few addresses to pass on to other instances, in rotation.
-    std::vector<std::string> nextAddresses(std::size_t count);
+    /// Live peers to tell a new instance about: those of its failure domain and those that exchange work.
+    std::vector<PeerAddress> peersFor(const std::string &failureDomain, std::size_t count, Instant now);
 
-    /// Peers heard within CallerSilence.
+    /// Peers heard recently.
     std::vector<PeerView> live(Instant now) const;
 
+    /// Addresses of the live peers that exchange work.
+    std::vector<std::string> workingAddresses(Instant now) const;
+
     const std::map<std::string, PeerView> &all() const;
 
 private:
+    struct KnownAddress
+    {
+        /// Time at which the address was added or last heard.
+        Instant since{};
+        std::string failureDomain;
+        bool exchangesWork = false;
+    };
+
+    bool isContact(const KnownAddress &known, bool exchangesWork) const;
+    template<typename Predicate>
+    std::vector<PeerAddress> rotate(std::size_t count, Instant now, Predicate predicate);
+
     std::string m_ownAddress;
-    /// Time at which each address was added or last heard.
-    std::map<std::string, Instant> m_addresses;
+    std::string m_failureDomain;
+    std::map<std::string, KnownAddress> m_addresses;
     std::map<std::string, PeerView> m_peers;
     std::size_t m_rotation = 0;
 };
 
+/// Whether a peer was heard recently enough to count as alive.
+bool isLive(const PeerView &peer, Instant now);
+
 } // namespace pomeloentry
--- a/src/include/pomeloentry/storereaders.h
+++ b/src/include/pomeloentry/storereaders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloentry/gateways.h"
 #include "pomeloentry/peertable.h"
 
 #include "pomeloport/nametable.h"
@@ -15,7 +16,8 @@
 /// The properties of an instance that the selection depends on.
 struct ReaderCandidate
 {
-    std::string instance;
+    /// Readers rank like gateways, so that they are gateways themselves and hear those of other failure domains.
+    InstanceRank rank;
     std::string failureDomain;
     StoreContact contact = StoreContact::Unknown;
 };
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -149,9 +149,16 @@
     /// Changes to own work since the last call, for other instances.
     WorkReport takeChanges(Instant now);
 
-    /// Full report of own work, in pieces that each fit a datagram.
+    /// Full report of own work for all receivers, in pieces that each fit a datagram. Changes so far need no further
+    /// report.
     std::vector<WorkReport> fullReports(Instant now);
 
+    /// The same for one receiver: changes are still to be reported to the others.
+    std::vector<WorkReport> snapshots(Instant now);
+
+    /// Drops the work of a sender that reports none any more. It no longer counts among the senders.
+    void forget(const pomeloport::OwnerId &sender);
+
     /// Whether there are changes that takeChanges() would report.
     bool hasChanges() const;
 
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -48,6 +48,8 @@
     /// When the engine would finish a part as a helper, and what that would cost other requests.
     double helperFinishMs = 0;
     double helperCostToOthers = 0;
+    /// Change of the latency-sensitive streams that it can start if it prefills a part.
+    double startableChange = 0;
     /// Added to the loss of choices answered by this engine, so that instances spread over nearly equal ones.
     double tieLoss = 0;
 };
@@ -213,31 +215,32 @@
         return std::min(freeSlots, withinMs * m_policy.latencySensitiveStartShare / m_policy.latencySensitivePrefillMs);
     }
 
-    /// Worth lost by latency-sensitive streams that arrive while the parts are prefilled and find no engine that can
-    /// start them in time.
-    double crowdingCost(const RatedEngine &answeringEngine,
-                        const std::vector<const RatedEngine *> &helpers,
-                        double partPrefillMs) const
+    /// Counts the latency-sensitive streams that the engines can start while a part is prefilled.
+    void countStartableStreams(double partPrefillMs)
     {
         const double withinMs = partPrefillMs + m_policy.latencySensitiveStartMs;
-        double available = 0;
-        for (const auto &rated : m_engines) {
-            available += startableStreams(rated, 0, withinMs);
+        m_startable = 0;
+        for (auto &rated : m_engines) {
+            const double before = startableStreams(rated, 0, withinMs);
+            const double after = startableStreams(rated, partPrefillMs * rated.candidate->slowdown, withinMs);
+            m_startable += before;
+            rated.startableChange = after - before;
         }
-        const auto change = [&](const RatedEngine &rated) {
-            return startableStreams(rated, partPrefillMs * rated.candidate->slowdown, withinMs)
-                - startableStreams(rated, 0, withinMs);
-        };
-        double availableAfter = available + change(answeringEngine);
+        m_neededStreams = m_demand.latencySensitiveRate * m_policy.latencySensitiveHeadroom * withinMs / MsPerSecond;
+    }
+
+    /// Worth lost by latency-sensitive streams that arrive while the parts are prefilled and find no engine that can
+    /// start them in time.
+    double crowdingCost(const RatedEngine &answeringEngine, const std::vector<const RatedEngine *> &helpers) const
+    {
+        double startableAfter = m_startable + answeringEngine.startableChange;
         for (const auto *helper : helpers) {
-            availableAfter += change(*helper);
+            startableAfter += helper->startableChange;
         }
-        const double needed =
-            m_demand.latencySensitiveRate * m_policy.latencySensitiveHeadroom * withinMs / MsPerSecond;
-        const auto unplaced = [needed](double places) {
-            return std::max(needed - places, 0.0);
+        const auto unplaced = [this](double places) {
+            return std::max(m_neededStreams - places, 0.0);
         };
-        return (unplaced(availableAfter) - unplaced(available)) * m_policy.latencySensitiveWorth * m_policy.lateLoss;
+        return (unplaced(startableAfter) - unplaced(m_startable)) * m_policy.latencySensitiveWorth * m_policy.lateLoss;
     }
 
     double lateProbabilityAt(double firstEventMs) const
@@ -250,6 +253,7 @@
     void considerParts(std::size_t parts, std::optional<EngineChoice> &result)
     {
         const double partPrefillMs = m_promptPrefillMs / static_cast<double>(parts);
+        countStartableStreams(partPrefillMs);
         for (auto &rated : m_engines) {
             const double slowdown = rated.candidate->slowdown;
             rated.helperFinishMs =
@@ -311,7 +315,7 @@
         if (choice.helpers.size() + 1 < parts || !planReservations(answeringEngine, chosen, choice)) {
             return;
         }
-        choice.costToOthers += crowdingCost(answeringEngine, chosen, partPrefillMs);
+        choice.costToOthers += crowdingCost(answeringEngine, chosen);
         const double firstEventMs = finishMs + answeringEngine.passMs;
         const bool latencySensitive = m_work.eventGap < m_policy.latencySensitiveGap;
         double loss = choice.costToOthers + ownLoss(firstEventMs);
@@ -345,6 +349,9 @@
     /// Maximum prefill time in one pass, in milliseconds.
     double m_maxPassPrefillMs;
     double m_backlogMs = 0;
+    /// Latency-sensitive streams that all engines can start while a part is prefilled, and those that are expected.
+    double m_startable = 0;
+    double m_neededStreams = 0;
     std::vector<RatedEngine> m_engines;
 };
 
--- a/src/libpomeloentry/entrydirectory.cpp
+++ b/src/libpomeloentry/entrydirectory.cpp
@@ -27,6 +27,10 @@
 constexpr std::chrono::milliseconds ListInterval{30'000};
 /// List interval while there is no live peer.
 constexpr std::chrono::milliseconds NoPeersInterval{2'000};
+/// Time after a start in which the seeds can introduce this instance to others, which makes a list needless.
+constexpr std::chrono::milliseconds IntroductionTime{700};
+/// Interval at which an instance that needs no list checks whether that has changed.
+constexpr std::chrono::milliseconds RoleCheckInterval{1'000};
 /// A listed instance is removed after this much silence, which is longer than a network outage is expected to last. If
 /// it is still alive, it registers again.
 constexpr Duration RemovalSilence = std::chrono::minutes(10);
@@ -44,7 +48,10 @@
 
 void EntryDirectory::start()
 {
-    asio::post(m_strand, [self = shared_from_this()] { self->list({}); });
+    asio::post(m_strand, [self = shared_from_this()] {
+        self->scheduleNextList(self->m_core->settings.isSeed ? std::chrono::milliseconds(0)
+                                                             : jittered(IntroductionTime));
+    });
 }
 
 void EntryDirectory::stop()
@@ -100,7 +107,7 @@
     }
     for (const auto &object : m_listedObjects) {
         if (object.name != self && !object.value.empty()) {
-            m_mesh->learn(object.value);
+            m_mesh->learn({object.value, {}, false});
         }
     }
     ++m_completedLists;
@@ -118,14 +125,32 @@
     if (m_failedLists > 0) {
         interval = m_completedLists == 0 ? retryDelay(m_failedLists) : EarlyInterval;
     }
-    m_timer.expires_after(jittered(interval));
+    scheduleNextList(jittered(interval));
+}
+
+void EntryDirectory::scheduleNextList(std::chrono::milliseconds interval)
+{
+    m_timer.expires_after(interval);
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
-        if (!error && !self->m_stopped) {
+        if (error || self->m_stopped) {
+            return;
+        }
+        if (self->needsList()) {
             self->list({});
+        } else {
+            self->scheduleNextList(jittered(RoleCheckInterval));
         }
     });
 }
 
+/// Whether this instance needs the list or has to be on it: the readers of the store are registered, through whom
+/// others find the rest of the fleet. An instance without peers looks for them.
+bool EntryDirectory::needsList() const
+{
+    const auto peers = m_mesh->live();
+    return peers.empty() || readsStore(m_mesh->ownCandidate(), readerCandidates(peers));
+}
+
 /// Writes this instance's peer address to the store. A failed write is repeated after the next list.
 void EntryDirectory::registerSelf(const StoreObject *existing)
 {
--- a/src/libpomeloentry/entrydirectory.h
+++ b/src/libpomeloentry/entrydirectory.h
@@ -17,8 +17,9 @@
 namespace pomeloentry
 {
 
-/// The list of entry instances in the platform's store, through which they find each other when all known peers are
-/// gone. Keeps this instance registered, passes the addresses of others to the mesh, and removes instances that have
+/// The list of entry instances in the platform's store, through which instances find each other when all seeds and all
+/// known peers are gone. The readers of the store are on it, so that its calls do not grow with the fleet. Keeps this
+/// instance registered while it is one, passes the addresses of others to the mesh, and removes instances that have
 /// been silent for long. All work runs on one strand.
 class EntryDirectory : public std::enable_shared_from_this<EntryDirectory>
 {
@@ -32,6 +33,8 @@
     void list(const std::string &after);
     void onListReply(const pomeloport::StoreReply &reply);
     void scheduleNextList();
+    void scheduleNextList(std::chrono::milliseconds interval);
+    bool needsList() const;
     void registerSelf(const pomeloport::StoreObject *existing);
     void removeSilentInstances();
     void send(pomeloport::StoreCall call, std::function<void(const pomeloport::StoreReply &)> callback);
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -101,13 +101,22 @@
 
 RouteDecision EntryPlacement::choose(const CallWork &work, const RouteQuery &query, Instant now, PlacementTrace &trace)
 {
-    const std::lock_guard lock(m_mutex);
-    m_ledger.expire(now);
-    const auto *engine = engineOf(work.service);
-    if (engine && work.promptTokens > 0) {
-        return choosePrompt(work, *engine, query, now, trace);
+    bool queued = false;
+    auto decision = [&]() -> RouteDecision {
+        const std::lock_guard lock(m_mutex);
+        m_ledger.expire(now);
+        const auto *engine = engineOf(work.service);
+        if (!engine || work.promptTokens == 0) {
+            return choosePlain(work, query, now, trace);
+        }
+        auto result = choosePrompt(work, *engine, query, now, trace);
+        queued = m_ledger.own().contains(itemKey(work, WaitingAttempt)) && m_ledger.hasChanges();
+        return result;
+    }();
+    if (queued) {
+        reportChange(WorkChange::Prompt);
     }
-    return choosePlain(work, query, now, trace);
+    return decision;
 }
 
 RouteDecision EntryPlacement::choosePrompt(const CallWork &work,
@@ -196,8 +205,14 @@
 
 void EntryPlacement::removeFromQueue(const CallWork &work)
 {
-    const std::lock_guard lock(m_mutex);
-    m_ledger.close(itemKey(work, WaitingAttempt));
+    {
+        const std::lock_guard lock(m_mutex);
+        m_ledger.close(itemKey(work, WaitingAttempt));
+        if (!m_ledger.hasChanges()) {
+            return;
+        }
+    }
+    reportChange(WorkChange::Progress);
 }
 
 std::optional<EngineChoice> EntryPlacement::bestEngines(const CallWork &work,
@@ -391,18 +406,26 @@
                             const std::vector<std::uint64_t> &tickets,
                             Instant now)
 {
+    bool isPrompt = false;
     {
         const std::lock_guard lock(m_mutex);
         recordAttempt(work, attempt, route, tickets, now);
+        isPrompt = engineOf(work.service) && work.promptTokens > 0;
     }
-    if (m_workOpened) {
-        m_workOpened();
-    }
+    reportChange(isPrompt ? WorkChange::Prompt : WorkChange::Call);
+}
+
+void EntryPlacement::onWorkChanged(ChangeCallback callback)
+{
+    m_workChanged = std::move(callback);
 }
 
-void EntryPlacement::onOpened(std::function<void()> callback)
+/// Requires that the mutex is not held, since the callback asks for the changes.
+void EntryPlacement::reportChange(WorkChange change) const
 {
-    m_workOpened = std::move(callback);
+    if (m_workChanged) {
+        m_workChanged(change);
+    }
 }
 
 void EntryPlacement::recordAttempt(const CallWork &work,
@@ -443,19 +466,22 @@
 
 void EntryPlacement::answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now)
 {
-    const std::lock_guard lock(m_mutex);
-    const auto key = itemKey(work, attempt);
-    const auto found = m_ledger.own().find(key);
-    if (found == m_ledger.own().end() || found->second.decoding) {
-        return;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto key = itemKey(work, attempt);
+        const auto found = m_ledger.own().find(key);
+        if (found == m_ledger.own().end() || found->second.decoding) {
+            return;
+        }
+        auto &backendHealth = health(keyOf(backend));
+        backendHealth.breaker.succeeded(now);
+        const double elapsedMs = pomeloport::seconds(now - found->second.startedAt) * 1000;
+        backendHealth.answerMs = backendHealth.answerMs == 0
+            ? elapsedMs
+            : backendHealth.answerMs + AnswerWeight * (elapsedMs - backendHealth.answerMs);
+        m_ledger.firstEvent(key, now);
     }
-    auto &backendHealth = health(keyOf(backend));
-    backendHealth.breaker.succeeded(now);
-    const double elapsedMs = pomeloport::seconds(now - found->second.startedAt) * 1000;
-    backendHealth.answerMs = backendHealth.answerMs == 0
-        ? elapsedMs
-        : backendHealth.answerMs + AnswerWeight * (elapsedMs - backendHealth.answerMs);
-    m_ledger.firstEvent(key, now);
+    reportChange(WorkChange::Progress);
 }
 
 void EntryPlacement::closed(const CallWork &work,
@@ -465,16 +491,19 @@
                             Instant now)
 {
     using Outcome = pomeloport::action::CloseAttempt::Outcome;
-    const std::lock_guard lock(m_mutex);
-    const auto key = keyOf(backend);
-    if (outcome == Outcome::Broken || outcome == Outcome::Refused) {
-        recordFailure(key, now);
-    }
-    if (outcome == Outcome::Completed) {
-        auto &backendHealth = health(key);
-        backendHealth.failureRate -= FailureWeight * backendHealth.failureRate;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto key = keyOf(backend);
+        if (outcome == Outcome::Broken || outcome == Outcome::Refused) {
+            recordFailure(key, now);
+        }
+        if (outcome == Outcome::Completed) {
+            auto &backendHealth = health(key);
+            backendHealth.failureRate -= FailureWeight * backendHealth.failureRate;
+        }
+        m_ledger.close(itemKey(work, attempt));
     }
-    m_ledger.close(itemKey(work, attempt));
+    reportChange(WorkChange::Progress);
 }
 
 void EntryPlacement::failed(const std::string &backend, Instant now)
@@ -516,6 +545,12 @@
     });
 }
 
+void EntryPlacement::forgetPeer(const pomeloport::OwnerId &sender)
+{
+    const std::lock_guard lock(m_mutex);
+    m_ledger.forget(sender);
+}
+
 std::optional<WorkReport> EntryPlacement::takeChanges(Instant now)
 {
     const std::lock_guard lock(m_mutex);
@@ -528,6 +563,12 @@
     return m_ledger.fullReports(now);
 }
 
+std::vector<WorkReport> EntryPlacement::snapshots(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_ledger.snapshots(now);
+}
+
 bool EntryPlacement::usable(const std::string &backend) const
 {
     const std::lock_guard lock(m_mutex);
@@ -541,6 +582,15 @@
     return m_ledger.own().size();
 }
 
+bool EntryPlacement::hasPrompts() const
+{
+    const std::lock_guard lock(m_mutex);
+    return std::ranges::any_of(m_ledger.own(), [](const auto &entry) {
+        const auto &item = entry.second;
+        return item.queuedFor != 0 || (!item.parts.empty() && item.parts.front().prefillMs > 0);
+    });
+}
+
 EntryPlacement::Health &EntryPlacement::health(std::uint32_t key)
 {
     return m_health.try_emplace(key, Health{pomeloport::CircuitBreaker(m_policy.breaker)}).first->second;
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -38,6 +38,9 @@
 /// Other instances wait this long before fetching, so that one fetch covers several changes.
 constexpr Duration FetchDelay = std::chrono::milliseconds(20);
 constexpr std::chrono::milliseconds TickInterval{50};
+/// Time after a start in which an instance that is no seed waits for the state of a peer before it reads the store. All
+/// instances of a fleet may start at once, and the store limits the rate of calls.
+constexpr std::chrono::milliseconds PeerStateTime{500};
 constexpr std::chrono::milliseconds FetchTimeout{800};
 
 std::size_t indexOf(wire::DocumentKind kind)
@@ -65,9 +68,8 @@
 {
     m_onPublished = std::move(onPublished);
     asio::post(m_strand, [self = shared_from_this()] {
-        for (auto &entry : self->m_kinds) {
-            self->list(entry, {});
-        }
+        const auto delay = self->m_core->settings.isSeed ? std::chrono::milliseconds(0) : jittered(PeerStateTime);
+        self->m_readsStoreFrom = steadyNow() + delay;
         self->tick();
     });
 }
@@ -161,7 +163,8 @@
 void FleetWatch::continueReading(KindState &kind)
 {
     kind.callPending = false;
-    if (m_stopped || (kind.hasList && !m_isReader)) {
+    const bool hasState = kind.hasList || kind.documents.asOf() > 0;
+    if (m_stopped || (hasState && !m_isReader)) {
         return;
     }
     kind.hasList ? watch(kind) : list(kind, {});
@@ -378,8 +381,12 @@
         m_isReader = isReader;
         logEvent(LogLevel::Info, "store_reader", {{"reads", isReader}, {"live_instances", peers.size() + 1}});
     }
+    if (steadyNow() < m_readsStoreFrom) {
+        return;
+    }
     for (auto &entry : m_kinds) {
-        if (isReader && !entry.callPending) {
+        const bool hasState = entry.hasList || entry.documents.asOf() > 0;
+        if ((isReader || !hasState) && !entry.callPending) {
             continueReading(entry);
         }
     }
@@ -403,7 +410,8 @@
     if (!m_behindSince) {
         m_behindSince = now;
     }
-    if (now - *m_behindSince < (m_isReader ? ReaderFetchDelay : FetchDelay) || m_fetchingPeerState) {
+    const auto delay = m_isReader && routing > 0 && backends > 0 ? ReaderFetchDelay : FetchDelay;
+    if (now - *m_behindSince < delay || m_fetchingPeerState) {
         return;
     }
     // Any peer that is ahead has the changes; those in the own failure domain are preferred.
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -99,6 +99,8 @@
     Instant m_storeFailedAt{};
     Instant m_storeCalledAt{};
     bool m_storeUnavailable = false;
+    /// End of the time after the start in which state is expected from peers.
+    Instant m_readsStoreFrom{};
     bool m_isReader = false;
     bool m_fetchingPeerState = false;
     bool m_stopped = false;
--- /dev/null
+++ b/src/libpomeloentry/gateways_test.cpp
@@ -0,0 +1,150 @@
+#include "pomeloentry/gateways.h"
+
+#include "pomeloentry/callrate.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string numbered(const std::string &prefix, std::size_t number)
+{
+    return std::string(prefix).append("-").append(std::to_string(number));
+}
+
+/// Ready instances of one failure domain, of which the first few have more processor time.
+std::vector<GatewayCandidate> domain(const std::string &name, std::size_t count, std::size_t large, double callRate = 0)
+{
+    std::vector<GatewayCandidate> result;
+    for (std::size_t i = 0; i < count; ++i) {
+        const auto instance = numbered(name, i);
+        result.push_back({{instance, i < large ? 500U : 120U}, instance, callRate});
+    }
+    return result;
+}
+
+std::vector<ReadyInstance> fleet(std::size_t domains, std::size_t perDomain, std::size_t large = 3)
+{
+    std::vector<ReadyInstance> result;
+    for (std::size_t i = 0; i < domains; ++i) {
+        const auto name = numbered("d", i);
+        for (auto &candidate : domain(name, perDomain, large)) {
+            result.push_back({name, std::move(candidate)});
+        }
+    }
+    return result;
+}
+
+std::vector<std::string> namesOf(const std::vector<GatewayCandidate> &gateways)
+{
+    std::vector<std::string> result;
+    for (const auto &gateway : gateways) {
+        result.push_back(gateway.rank.instance);
+    }
+    return result;
+}
+
+bool contains(const std::vector<std::string> &list, const std::string &text)
+{
+    return std::ranges::find(list, text) != list.end();
+}
+
+} // namespace
+
+// With every instance as a gateway, 295 instances sent each other 100,000 heartbeats a second.
+TEST_CASE("the number of gateways does not grow with the fleet", "[gateways]")
+{
+    const GatewayPolicy policy;
+    for (const std::size_t perDomain : {20U, 59U, 300U}) {
+        CHECK(selectGateways(domain("d", perDomain, 3), policy, 3).size() == 8);
+        CHECK(selectGateways(domain("d", perDomain, 3), policy, 5).size() == 5);
+    }
+    CHECK(selectGateways(domain("d", 18, 0), policy, 21).size() == policy.minimumPerDomain);
+    CHECK(selectGateways(domain("d", 3, 0), policy, 3).size() == 3);
+    CHECK(selectGateways({}, policy, 3).empty());
+}
+
+TEST_CASE("instances with more processor time are gateways first", "[gateways]")
+{
+    const auto names = namesOf(selectGateways(domain("d", 59, 3), {}, 5));
+    CHECK(contains(names, "d-0"));
+    CHECK(contains(names, "d-1"));
+    CHECK(contains(names, "d-2"));
+}
+
+TEST_CASE("the loss of a gateway adds the next instance and moves no other", "[gateways]")
+{
+    auto ready = domain("d", 59, 3);
+    const auto before = namesOf(selectGateways(ready, {}, 5));
+    std::erase_if(ready, [&before](const auto &candidate) { return candidate.rank.instance == before[1]; });
+    const auto after = namesOf(selectGateways(ready, {}, 5));
+    REQUIRE(after.size() == before.size());
+    CHECK(std::ranges::count_if(before, [&after](const auto &name) { return contains(after, name); }) == 4);
+}
+
+TEST_CASE("the order of the candidates does not matter", "[gateways]")
+{
+    auto ready = domain("d", 30, 2);
+    const auto before = namesOf(selectGateways(ready, {}, 3));
+    std::ranges::reverse(ready);
+    CHECK(namesOf(selectGateways(ready, {}, 3)) == before);
+}
+
+TEST_CASE("a domain with more calls than its gateways can carry gets more", "[gateways]")
+{
+    // 59 instances with four calls a second each need 2.4 cores: three of 0.5 and eight of 0.12.
+    CHECK(selectGateways(domain("d", 59, 3, 4), {}, 5).size() == 11);
+    // Whatever the load, an instance that is ready is the most that there can be.
+    CHECK(selectGateways(domain("d", 10, 3, 1000), {}, 5).size() == 10);
+}
+
+TEST_CASE("callers are told the gateways of their own failure domain", "[gateways]")
+{
+    const auto ready = fleet(5, 59);
+    const auto addresses = announcedAddresses("d-2", ready, {}, 5);
+    CHECK(addresses.size() == 5);
+    CHECK(std::ranges::all_of(addresses, [](const auto &address) { return address.starts_with("d-2-"); }));
+    // An instance that knows only its own domain answers for another one with what it knows.
+    auto own = ready;
+    std::erase_if(own, [](const auto &instance) { return instance.failureDomain != "d-1"; });
+    CHECK(announcedAddresses("d-2", own, {}, 5).size() == 5);
+}
+
+TEST_CASE("callers of a domain with few ready instances are told the gateways of all domains", "[gateways]")
+{
+    CHECK(announcedAddresses("d-0", fleet(3, 3), {}, 3).size() == 9);
+    auto ready = fleet(5, 59);
+    std::erase_if(ready, [](const auto &instance) {
+        return instance.failureDomain == "d-0" && instance.candidate.rank.instance != "d-0-7";
+    });
+    const auto addresses = announcedAddresses("d-0", ready, {}, 5);
+    CHECK(addresses.size() == 21);
+    CHECK(addresses.front() == "d-0-7");
+    // Callers use at most 64 addresses.
+    CHECK(announcedAddresses("elsewhere", fleet(30, 20), {}, 30).size() == 64);
+}
+
+TEST_CASE("the reported rate of calls follows a rise soon and a fall slowly", "[gateways]")
+{
+    CallRate rate;
+    auto now = Instant(1h);
+    std::uint64_t calls = 0;
+    rate.update(calls, now);
+    CHECK(rate.perSecond() == 0);
+    for (int i = 0; i < 12; ++i) {
+        calls += 10;
+        rate.update(calls, now += 250ms);
+    }
+    CHECK(rate.perSecond() > 36);
+    for (int i = 0; i < 12; ++i) {
+        rate.update(calls, now += 250ms);
+    }
+    CHECK(rate.perSecond() > 30);
+    rate.update(calls, now += 60s);
+    CHECK(rate.perSecond() < 4);
+}
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -14,16 +14,26 @@
 namespace
 {
 
-/// Interval of full work reports, which also serve as heartbeats: three of them fit into PeerTable::CallerSilence.
-constexpr std::chrono::milliseconds HeartbeatInterval{250};
-/// Added to the interval for each peer, which bounds each instance's heartbeat traffic in a large fleet.
-constexpr std::chrono::milliseconds HeartbeatPerPeer{2};
+/// Interval of full work reports, which also serve as heartbeats: three of them fit into PeerTable::WorkingSilence.
+constexpr std::chrono::milliseconds WorkingInterval{250};
+/// Added to the interval for each receiver of reports, which bounds the traffic of an instance.
+constexpr std::chrono::milliseconds WorkingIntervalPerPeer{2};
+/// Interval of heartbeats without work: three of them fit into PeerTable::IdleSilence.
+constexpr std::chrono::milliseconds IdleInterval{1'000};
 /// Changes are batched for this long.
 constexpr std::chrono::milliseconds ChangeInterval{4};
-/// Number of peer addresses in each full report.
-constexpr std::size_t SharedAddresses = 4;
-/// Number of peer addresses in the introduction to a new instance; together they fit into one datagram.
-constexpr std::size_t IntroducedAddresses = 40;
+/// An instance that is no gateway reports its work for this long after its last prompt has ended, since callers that
+/// reach it once tend to come again.
+constexpr Duration PromptMemory = std::chrono::seconds(5);
+/// Rate of calls, per second, from which an instance that is no gateway reports its work also without prompts. Single
+/// calls without a prompt end sooner than a report of them would be of use.
+constexpr double ReportedCallRate = 5;
+/// Time after a start in which an instance is no gateway, since it does not know its failure domain yet.
+constexpr Duration SettlingTime = std::chrono::milliseconds(800);
+/// Number of other instances named in each heartbeat.
+constexpr std::size_t SharedPeers = 4;
+/// Number of other instances named in the introduction to a new one; together they fit into one datagram.
+constexpr std::size_t IntroducedPeers = 24;
 /// The platform's settings provide no secret for authentication, so this fixed key only filters out unrelated
 /// datagrams.
 constexpr const char *DatagramKey = "pomeloport entry instances";
@@ -34,7 +44,8 @@
     : m_core(std::move(core))
     , m_heartbeatTimer(m_core->context)
     , m_changeTimer(m_core->context)
-    , m_peers(m_core->settings.peerAddress)
+    , m_peers(m_core->settings.peerAddress, m_core->settings.failureDomain)
+    , m_startedAt(steadyNow())
 {
 }
 
@@ -56,42 +67,46 @@
         return nullptr;
     }
     for (const auto &seed : seeds) {
-        mesh->learn(seed);
+        mesh->learn({seed, {}, false});
     }
-    mesh->m_core->placement.onOpened([weak = std::weak_ptr(mesh)] {
-        // The placement decisions of peers depend on the new work, so it is reported at once.
+    mesh->m_core->placement.onWorkChanged([weak = std::weak_ptr(mesh)](WorkChange change) {
         if (const auto self = weak.lock()) {
-            self->sendChanges();
+            self->onWorkChanged(change);
         }
     });
     mesh->armHeartbeatTimer();
-    mesh->armChangeTimer();
     return mesh;
 }
 
-void PeerMesh::learn(const std::string &address)
+void PeerMesh::learn(const PeerAddress &peer)
 {
-    bool isNew = false;
+    bool isContact = false;
     {
         const std::lock_guard lock(m_mutex);
-        isNew = m_peers.learn(address, steadyNow());
+        isContact = m_peers.learn(peer, m_exchangesWork, steadyNow());
     }
-    if (isNew && m_socket) {
-        sendIntroduction(address);
+    if (isContact && m_socket) {
+        sendIntroduction(peer.address, peer.failureDomain);
     }
 }
 
 /// Sends this instance's full state to one peer at once, so that both soon consider each other's work in placement.
-void PeerMesh::sendIntroduction(const std::string &address)
+void PeerMesh::sendIntroduction(const std::string &address, const std::string &failureDomain)
 {
-    std::size_t addresses = IntroducedAddresses;
-    for (auto &piece : m_core->placement.fullReports(steadyNow())) {
-        auto outgoing = message();
-        outgoing.description = ownDescription(addresses);
-        // Only the first message carries the addresses of other peers.
-        addresses = 0;
+    auto outgoing = message();
+    outgoing.description = ownDescription();
+    {
+        const std::lock_guard lock(m_mutex);
+        outgoing.description->others = m_peers.peersFor(failureDomain, IntroducedPeers, steadyNow());
+    }
+    send(outgoing, {address});
+    if (!outgoing.exchangesWork) {
+        return;
+    }
+    outgoing.description.reset();
+    for (auto &piece : m_core->placement.snapshots(steadyNow())) {
         outgoing.work = std::move(piece);
-        m_socket->send(address, detail::encodeCompact(outgoing));
+        send(outgoing, {address});
     }
 }
 
@@ -105,18 +120,78 @@
 
 void PeerMesh::announceKnownChanges()
 {
-    send({}, false);
+    std::vector<std::string> addresses;
+    for (const auto &peer : live()) {
+        addresses.push_back(peer.address);
+    }
+    send(message(), addresses);
 }
 
 ReaderCandidate PeerMesh::ownCandidate() const
 {
     const std::lock_guard lock(m_mutex);
-    return {m_core->settings.instance, m_core->settings.failureDomain, m_storeContact};
+    return {ownGatewayCandidate().rank, m_core->settings.failureDomain, m_storeContact};
 }
 
 void PeerMesh::announce()
 {
-    sendFullReport();
+    sendHeartbeat();
+}
+
+GatewayCandidate PeerMesh::ownGatewayCandidate() const
+{
+    const auto &settings = m_core->settings;
+    return {{settings.instance, settings.processorMilli}, settings.callerAddress, m_callRate.perSecond()};
+}
+
+/// Whether this instance is one of the gateways of its failure domain. Requires the mutex.
+bool PeerMesh::isGateway(Instant now) const
+{
+    if (m_core->leaving || !m_configured || now - m_startedAt < SettlingTime) {
+        return false;
+    }
+    const auto &settings = m_core->settings;
+    std::vector<GatewayCandidate> ready{ownGatewayCandidate()};
+    for (const auto &[name, peer] : m_peers.all()) {
+        if (peer.failureDomain == settings.failureDomain && peer.state == EntryState::Ready && isLive(peer, now)) {
+            ready.push_back({{name, peer.processorMilli}, peer.callerAddress, peer.callRate});
+        }
+    }
+    const auto gateways = selectGateways(std::move(ready), settings.policy.gateways, settings.failureDomainCount);
+    return std::ranges::any_of(gateways,
+                               [&settings](const auto &gateway) { return gateway.rank.instance == settings.instance; });
+}
+
+/// Decides whether this instance exchanges work from now on.
+void PeerMesh::updateRole()
+{
+    const auto now = steadyNow();
+    const bool hasPrompts = m_core->placement.hasPrompts();
+    std::vector<std::string> formerContacts;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_callRate.update(m_core->nextSequence, now);
+        m_lastPromptAt = hasPrompts ? now : m_lastPromptAt;
+        const bool recentPrompt = m_lastPromptAt != Instant{} && now - m_lastPromptAt < PromptMemory;
+        const bool gateway = isGateway(now);
+        const bool exchanges = gateway || recentPrompt || m_callRate.perSecond() > ReportedCallRate;
+        if (exchanges == m_exchangesWork) {
+            return;
+        }
+        m_exchangesWork = exchanges;
+        if (!exchanges) {
+            formerContacts = m_peers.contacts(true);
+        }
+        logEvent(LogLevel::Info,
+                 "work_exchange",
+                 {{"exchanges", exchanges}, {"gateway", gateway}, {"contacts", m_peers.contacts(exchanges).size()}});
+    }
+    if (!formerContacts.empty()) {
+        // Instances of other failure domains need no further heartbeats of this one.
+        auto outgoing = message();
+        outgoing.description = ownDescription();
+        send(outgoing, formerContacts);
+    }
 }
 
 EntryState PeerMesh::state() const
@@ -130,16 +205,22 @@
 
 std::vector<std::string> PeerMesh::callerAddresses(const std::string &failureDomain) const
 {
+    const auto &settings = m_core->settings;
     std::vector<ReadyInstance> ready;
-    if (state() == EntryState::Ready) {
-        ready.push_back({m_core->settings.callerAddress, m_core->settings.failureDomain});
-    }
-    for (const auto &peer : live()) {
-        if (peer.state == EntryState::Ready) {
-            ready.push_back({peer.callerAddress, peer.failureDomain});
+    const bool selfReady = state() == EntryState::Ready;
+    const auto now = steadyNow();
+    {
+        const std::lock_guard lock(m_mutex);
+        if (selfReady) {
+            ready.push_back({settings.failureDomain, ownGatewayCandidate()});
+        }
+        for (const auto &[name, peer] : m_peers.all()) {
+            if (peer.state == EntryState::Ready && isLive(peer, now)) {
+                ready.push_back({peer.failureDomain, {{name, peer.processorMilli}, peer.callerAddress, peer.callRate}});
+            }
         }
     }
-    return addressesFor(failureDomain, std::move(ready));
+    return announcedAddresses(failureDomain, ready, settings.policy.gateways, settings.failureDomainCount);
 }
 
 std::vector<PeerView> PeerMesh::live() const
@@ -166,13 +247,15 @@
         return;
     }
     const auto now = steadyNow();
-    bool changed = false;
+    auto change = PeerChange::None;
     {
         const std::lock_guard lock(m_mutex);
-        changed = m_peers.applyMessage(sender, address, *message, now);
+        change = m_peers.applyMessage(sender, address, *message, now);
+    }
+    if (change == PeerChange::Added) {
+        sendIntroduction(address, message->description ? message->description->failureDomain : std::string());
     }
-    if (changed) {
-        sendIntroduction(address);
+    if (change != PeerChange::None) {
         logEvent(LogLevel::Info,
                  "peer",
                  {{"peer", sender.instance},
@@ -180,59 +263,126 @@
                   {"state", nameOf(message->state)},
                   {"address", address}});
     }
-    m_core->placement.applyPeerReport(sender, message->work, now);
+    if (message->description) {
+        for (const auto &other : message->description->others) {
+            learn(other);
+        }
+    }
+    if (message->exchangesWork) {
+        m_core->placement.applyPeerReport(sender, message->work, now);
+    } else {
+        m_core->placement.forgetPeer(sender);
+    }
 }
 
 void PeerMesh::armHeartbeatTimer()
 {
-    std::size_t peers = 0;
+    std::chrono::milliseconds interval = IdleInterval;
     {
         const std::lock_guard lock(m_mutex);
         if (m_stopped) {
             return;
         }
-        peers = m_peers.all().size();
+        if (m_exchangesWork) {
+            interval = WorkingInterval + WorkingIntervalPerPeer * m_peers.workingAddresses(steadyNow()).size();
+        } else if (steadyNow() - m_startedAt < SettlingTime) {
+            interval = WorkingInterval;
+        }
     }
-    m_heartbeatTimer.expires_after(HeartbeatInterval + HeartbeatPerPeer * peers);
+    m_heartbeatTimer.expires_after(interval);
     m_heartbeatTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
-            self->sendFullReport();
+            self->updateRole();
+            self->sendHeartbeat();
             self->armHeartbeatTimer();
         }
     });
 }
 
+/// Reports changed work: new work at once, since the placement decisions of peers depend on it, other changes together.
+void PeerMesh::onWorkChanged(WorkChange change)
+{
+    bool exchanges = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        exchanges = m_exchangesWork;
+    }
+    if (!exchanges && change == WorkChange::Prompt) {
+        updateRole();
+        sendHeartbeat();
+    } else if (exchanges && change == WorkChange::Progress) {
+        armChangeTimer();
+    } else if (exchanges) {
+        sendChanges();
+    }
+}
+
 void PeerMesh::armChangeTimer()
 {
     {
         const std::lock_guard lock(m_mutex);
-        if (m_stopped) {
+        if (m_stopped || m_changeTimerArmed) {
             return;
         }
+        m_changeTimerArmed = true;
     }
     m_changeTimer.expires_after(ChangeInterval);
     m_changeTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
+            {
+                const std::lock_guard lock(self->m_mutex);
+                self->m_changeTimerArmed = false;
+            }
             self->sendChanges();
-            self->armChangeTimer();
         }
     });
 }
 
 void PeerMesh::sendChanges()
 {
-    if (auto changes = m_core->placement.takeChanges(steadyNow())) {
-        send(std::move(*changes), false);
+    auto changes = m_core->placement.takeChanges(steadyNow());
+    if (!changes) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(m_mutex);
+        addresses = m_peers.workingAddresses(steadyNow());
     }
+    auto outgoing = message();
+    outgoing.work = std::move(*changes);
+    send(outgoing, addresses);
 }
 
-void PeerMesh::sendFullReport()
+/// Sends all work to the peers that exchange it, and to the other contacts only that this instance is alive.
+void PeerMesh::sendHeartbeat()
 {
-    for (auto &piece : m_core->placement.fullReports(steadyNow())) {
-        send(std::move(piece), true);
+    const auto now = steadyNow();
+    auto outgoing = message();
+    outgoing.description = ownDescription();
+    std::vector<std::string> workers;
+    std::vector<std::string> others;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_peers.expire(now);
+        outgoing.description->others = m_peers.nextPeers(SharedPeers, now);
+        others = m_peers.contacts(m_exchangesWork);
+        if (m_exchangesWork) {
+            workers = m_peers.workingAddresses(now);
+            std::erase_if(others, [&workers](const std::string &address) {
+                return std::ranges::find(workers, address) != workers.end();
+            });
+        }
+    }
+    send(outgoing, others);
+    auto pieces = m_core->placement.fullReports(now);
+    if (!outgoing.exchangesWork) {
+        return;
+    }
+    for (auto &piece : pieces) {
+        outgoing.work = std::move(piece);
+        send(outgoing, workers);
     }
-    const std::lock_guard lock(m_mutex);
-    m_peers.expire(steadyNow());
 }
 
 PeerMessage PeerMesh::message() const
@@ -240,36 +390,29 @@
     PeerMessage result;
     result.state = state();
     const std::lock_guard lock(m_mutex);
+    result.exchangesWork = m_exchangesWork;
     result.known = m_knownChanges;
     result.contact = m_storeContact;
     return result;
 }
 
-PeerDescription PeerMesh::ownDescription(std::size_t addresses)
+PeerDescription PeerMesh::ownDescription() const
 {
+    const auto &settings = m_core->settings;
     const std::lock_guard lock(m_mutex);
-    return {m_core->settings.callerAddress, m_core->settings.failureDomain, m_peers.nextAddresses(addresses)};
+    return {settings.callerAddress,
+            settings.failureDomain,
+            settings.processorMilli,
+            static_cast<float>(m_callRate.perSecond()),
+            {}};
 }
 
-void PeerMesh::send(WorkReport report, bool toAll)
+void PeerMesh::send(const PeerMessage &message, const std::vector<std::string> &addresses)
 {
-    auto outgoing = message();
-    if (toAll) {
-        outgoing.description = ownDescription(SharedAddresses);
-    }
-    outgoing.work = std::move(report);
-    const auto payload = detail::encodeCompact(outgoing);
-    std::vector<std::string> addresses;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (toAll) {
-            addresses = m_peers.addresses();
-        } else {
-            for (const auto &peer : m_peers.live(steadyNow())) {
-                addresses.push_back(peer.address);
-            }
-        }
+    if (addresses.empty()) {
+        return;
     }
+    const auto payload = detail::encodeCompact(message);
     for (const auto &address : addresses) {
         if (!m_socket->send(address, payload)) {
             logEvent(LogLevel::Warning, "peer_send_failed", {{"address", address}, {"detail", lastReason()}});
--- a/src/libpomeloentry/peermesh.h
+++ b/src/libpomeloentry/peermesh.h
@@ -2,6 +2,8 @@
 
 #include "entrycore.h"
 
+#include "pomeloentry/callrate.h"
+#include "pomeloentry/gateways.h"
 #include "pomeloentry/peertable.h"
 #include "pomeloentry/storereaders.h"
 
@@ -20,7 +22,8 @@
 {
 
 /// Exchanges datagrams with the other entry instances: work in flight, instance state, and the store versions that each
-/// knows. Thread safe.
+/// knows. Instances that take calls, mostly the gateways, report their work to each other at once. All others show that
+/// they are alive at longer intervals, and only to their own failure domain. Thread safe.
 class PeerMesh : public std::enable_shared_from_this<PeerMesh>
 {
 public:
@@ -28,7 +31,7 @@
     static std::shared_ptr<PeerMesh> start(std::shared_ptr<EntryCore> core);
 
     /// Adds the peer address of another instance and introduces this one to it.
-    void learn(const std::string &address);
+    void learn(const PeerAddress &peer);
 
     /// Sets what messages report about this instance: the store versions that it knows, whether it has a configuration,
     /// and whether the platform's store answers it.
@@ -40,10 +43,10 @@
     /// This instance as a candidate for reading the store.
     ReaderCandidate ownCandidate() const;
 
-    /// Sends the full state to all known addresses at once, for example when the shutdown begins.
+    /// Sends the full state to all contacts at once, for example when the shutdown begins.
     void announce();
 
-    /// Addresses for callers in a failure domain, chosen from the ready instances including this one.
+    /// Addresses for callers in a failure domain: its gateways among the ready instances, including this one.
     std::vector<std::string> callerAddresses(const std::string &failureDomain) const;
 
     /// Peers that were heard from recently.
@@ -56,14 +59,18 @@
 private:
     explicit PeerMesh(std::shared_ptr<EntryCore> core);
     void onDatagram(const pomeloport::OwnerId &sender, const std::string &address, const std::string &payload);
-    void sendIntroduction(const std::string &address);
+    void sendIntroduction(const std::string &address, const std::string &failureDomain);
     void armHeartbeatTimer();
     void armChangeTimer();
+    void onWorkChanged(WorkChange change);
     void sendChanges();
-    void sendFullReport();
-    void send(WorkReport report, bool toAll);
+    void sendHeartbeat();
+    void updateRole();
+    bool isGateway(Instant now) const;
+    GatewayCandidate ownGatewayCandidate() const;
+    void send(const PeerMessage &message, const std::vector<std::string> &addresses);
     PeerMessage message() const;
-    PeerDescription ownDescription(std::size_t addresses);
+    PeerDescription ownDescription() const;
 
     std::shared_ptr<EntryCore> m_core;
     std::shared_ptr<pomeloport::DatagramSocket> m_socket;
@@ -75,6 +82,12 @@
     StoreContact m_storeContact = StoreContact::Unknown;
     bool m_configured = false;
     bool m_stopped = false;
+    CallRate m_callRate;
+    Instant m_startedAt;
+    /// Whether this instance exchanges work: it is a gateway, takes many calls, or had prompts until recently.
+    bool m_exchangesWork = false;
+    Instant m_lastPromptAt{};
+    bool m_changeTimerArmed = false;
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/peertable.cpp
+++ b/src/libpomeloentry/peertable.cpp
@@ -1,120 +1,143 @@
 #include "pomeloentry/peertable.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace pomeloentry
 {
 
-namespace
+bool isLive(const PeerView &peer, Instant now)
 {
+    return now - peer.heardAt <= (peer.exchangesWork ? PeerTable::WorkingSilence : PeerTable::IdleSilence);
+}
 
-/// Callers use at most this many addresses.
-constexpr std::size_t MaximumAddresses = 64;
-/// Minimum number of ready instances at which a failure domain serves its own callers alone: the sudden loss of half of
-/// them still leaves several.
-constexpr std::size_t MinimumLocalInstances = 8;
-
-} // namespace
-
-std::vector<std::string> addressesFor(const std::string &failureDomain, std::vector<ReadyInstance> ready)
+PeerTable::PeerTable(std::string ownAddress, std::string failureDomain)
+    : m_ownAddress(std::move(ownAddress))
+    , m_failureDomain(std::move(failureDomain))
 {
-    const auto rank = [](const ReadyInstance &instance) {
-        return XXH64(instance.callerAddress.data(), instance.callerAddress.size(), 0);
-    };
-    std::ranges::sort(ready, {}, rank);
-    const auto remoteBegin = std::stable_partition(ready.begin(), ready.end(), [&failureDomain](const auto &instance) {
-        return instance.failureDomain == failureDomain;
-    });
-    const auto localCount = static_cast<std::size_t>(remoteBegin - ready.begin());
-    ready.resize(std::min(localCount >= MinimumLocalInstances ? localCount : ready.size(), MaximumAddresses));
-    std::vector<std::string> result;
-    for (auto &instance : ready) {
-        result.push_back(std::move(instance.callerAddress));
-    }
-    return result;
 }
 
-PeerTable::PeerTable(std::string ownAddress)
-    : m_ownAddress(std::move(ownAddress))
+bool PeerTable::isContact(const KnownAddress &known, bool exchangesWork) const
 {
+    return known.failureDomain.empty() || known.failureDomain == m_failureDomain
+        || (exchangesWork && known.exchangesWork);
 }
 
-bool PeerTable::learn(const std::string &address, Instant now)
+bool PeerTable::learn(const PeerAddress &peer, bool exchangesWork, Instant now)
 {
-    return address != m_ownAddress && !address.empty() && m_addresses.try_emplace(address, now).second;
+    const bool isRemote = !peer.failureDomain.empty() && peer.failureDomain != m_failureDomain;
+    if (peer.address == m_ownAddress || peer.address.empty() || (isRemote && !peer.exchangesWork)) {
+        return false;
+    }
+    const KnownAddress known{now, peer.failureDomain, peer.exchangesWork};
+    return m_addresses.try_emplace(peer.address, known).second && isContact(known, exchangesWork);
 }
 
-bool PeerTable::applyMessage(const pomeloport::OwnerId &sender,
-                             const std::string &address,
-                             const PeerMessage &message,
-                             Instant now)
+PeerChange PeerTable::applyMessage(const pomeloport::OwnerId &sender,
+                                   const std::string &address,
+                                   const PeerMessage &message,
+                                   Instant now)
 {
     if (address == m_ownAddress) {
-        return false;
+        return PeerChange::None;
     }
     const auto existing = m_peers.find(sender.instance);
     const bool isNew = existing == m_peers.end() || sender.incarnation > existing->second.incarnation;
     if ((isNew && !message.description) || (!isNew && sender.incarnation < existing->second.incarnation)) {
-        return false;
+        return PeerChange::None;
     }
     auto &peer = m_peers[sender.instance];
-    const bool changed = isNew || message.state != peer.state;
+    const bool stateChanged = message.state != peer.state;
     peer.instance = sender.instance;
     peer.incarnation = sender.incarnation;
     peer.address = address;
     peer.state = message.state;
+    peer.exchangesWork = message.exchangesWork;
     peer.known = message.known;
     peer.contact = message.contact;
     peer.heardAt = now;
-    m_addresses[address] = now;
     if (message.description) {
         peer.callerAddress = message.description->callerAddress;
         peer.failureDomain = message.description->failureDomain;
-        for (const auto &other : message.description->others) {
-            learn(other, now);
-        }
+        peer.processorMilli = message.description->processorMilli;
+        peer.callRate = message.description->callRate;
     }
-    return changed;
+    m_addresses[address] = {now, peer.failureDomain, peer.exchangesWork};
+    if (isNew) {
+        return PeerChange::Added;
+    }
+    return stateChanged ? PeerChange::State : PeerChange::None;
 }
 
 void PeerTable::expire(Instant now)
 {
-    std::erase_if(m_addresses, [now](const auto &entry) { return now - entry.second > AddressLifetime; });
+    std::erase_if(m_addresses, [now](const auto &entry) { return now - entry.second.since > AddressLifetime; });
     std::erase_if(m_peers, [now](const auto &entry) { return now - entry.second.heardAt > AddressLifetime; });
 }
 
-std::vector<std::string> PeerTable::addresses() const
+std::vector<std::string> PeerTable::contacts(bool exchangesWork) const
 {
     std::vector<std::string> result;
-    for (const auto &[address, since] : m_addresses) {
-        result.push_back(address);
+    for (const auto &[address, known] : m_addresses) {
+        if (isContact(known, exchangesWork)) {
+            result.push_back(address);
+        }
     }
     return result;
 }
 
-std::vector<std::string> PeerTable::nextAddresses(std::size_t count)
+template<typename Predicate>
+std::vector<PeerAddress> PeerTable::rotate(std::size_t count, Instant now, Predicate predicate)
 {
-    const auto all = addresses();
-    std::vector<std::string> result;
-    for (std::size_t i = 0; i < std::min(count, all.size()); ++i) {
-        result.push_back(all[m_rotation++ % all.size()]);
+    std::vector<const PeerView *> eligible;
+    for (const auto &[name, peer] : m_peers) {
+        if (isLive(peer, now) && predicate(peer)) {
+            eligible.push_back(&peer);
+        }
+    }
+    std::vector<PeerAddress> result;
+    for (std::size_t i = 0; i < std::min(count, eligible.size()); ++i) {
+        const auto &peer = *eligible[m_rotation++ % eligible.size()];
+        result.push_back({peer.address, peer.failureDomain, peer.exchangesWork});
     }
     return result;
 }
 
+std::vector<PeerAddress> PeerTable::nextPeers(std::size_t count, Instant now)
+{
+    return rotate(count, now, [this](const PeerView &peer) {
+        return peer.exchangesWork || peer.failureDomain == m_failureDomain;
+    });
+}
+
+std::vector<PeerAddress> PeerTable::peersFor(const std::string &failureDomain, std::size_t count, Instant now)
+{
+    return rotate(count, now, [&failureDomain](const PeerView &peer) {
+        return peer.exchangesWork || peer.failureDomain == failureDomain;
+    });
+}
+
 std::vector<PeerView> PeerTable::live(Instant now) const
 {
     std::vector<PeerView> result;
     for (const auto &[name, peer] : m_peers) {
-        if (now - peer.heardAt <= CallerSilence) {
+        if (isLive(peer, now)) {
             result.push_back(peer);
         }
     }
     return result;
 }
 
+std::vector<std::string> PeerTable::workingAddresses(Instant now) const
+{
+    std::vector<std::string> result;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.exchangesWork && isLive(peer, now)) {
+            result.push_back(peer.address);
+        }
+    }
+    return result;
+}
+
 const std::map<std::string, PeerView> &PeerTable::all() const
 {
     return m_peers;
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -50,6 +50,16 @@
     reader.finish();
 }
 
+void readGateways(pomeloport::SettingsReader reader, GatewayPolicy &policy)
+{
+    constexpr std::uint64_t GatewayLimit = 1000;
+    constexpr double MaximumCallRate = 100'000;
+    policy.fleetGateways = reader.number("fleet", policy.fleetGateways, 1, GatewayLimit);
+    policy.minimumPerDomain = reader.number("minimum_per_domain", policy.minimumPerDomain, 1, GatewayLimit);
+    policy.callsPerCore = reader.real("calls_per_core", policy.callsPerCore, 1, MaximumCallRate);
+    reader.finish();
+}
+
 } // namespace
 
 std::optional<EntryPolicy> loadPolicy(const std::string &fileName, pomeloport::SettingsErrors &errors)
@@ -63,6 +73,7 @@
         return std::nullopt;
     }
     readEngines(reader->section("engines"), policy.engines);
+    readGateways(reader->section("gateways"), policy.gateways);
     readTime(*reader, "wait_step", policy.recheckInterval);
     readReal(*reader, "longest_wait", policy.maximumWaitShare);
     readReal(*reader, "patience_factor", policy.patienceFactor);
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -216,9 +216,24 @@
 
 std::vector<WorkReport> WorkLedger::fullReports(Instant now)
 {
-    ++m_epoch;
     m_changed.clear();
     m_ended.clear();
+    return snapshots(now);
+}
+
+void WorkLedger::forget(const pomeloport::OwnerId &sender)
+{
+    const auto found = m_remote.find(sender.instance);
+    if (found != m_remote.end() && found->second.incarnation <= sender.incarnation) {
+        m_remote.erase(found);
+        m_indexed = false;
+    }
+    m_senders.erase(sender.instance);
+}
+
+std::vector<WorkReport> WorkLedger::snapshots(Instant now)
+{
+    ++m_epoch;
     std::vector<WorkReport> pieces(1);
     for (const auto &[key, item] : m_own) {
         if (pieces.back().items.size() == ItemsPerPiece) {
--- a/src/libpomeloentry/workledger_test.cpp
+++ b/src/libpomeloentry/workledger_test.cpp
@@ -63,6 +63,35 @@
     CHECK_FALSE(observer.byBackend().contains(3));
 }
 
+// A report to one new instance used to count as a report to all, so that the others learned of recent changes only with
+// the next heartbeat.
+TEST_CASE("a snapshot for one instance leaves the changes for the others", "[workledger]")
+{
+    WorkLedger source;
+    WorkLedger observer;
+    source.open(item(1, 7));
+    CHECK(source.snapshots(Start).front().items.size() == 1);
+    CHECK(source.hasChanges());
+    observer.merge({"a", 1}, source.takeChanges(Start), Start);
+    CHECK(observer.byBackend().contains(7));
+    source.close(1);
+    CHECK(source.fullReports(Start).front().items.empty());
+    CHECK_FALSE(source.hasChanges());
+}
+
+TEST_CASE("an instance that reports no work any more is not missed", "[workledger]")
+{
+    WorkLedger source;
+    WorkLedger observer;
+    source.open(item(1, 7));
+    observer.merge({"a", 2}, source.takeChanges(Start), Start);
+    observer.forget({"a", 1});
+    CHECK(observer.byBackend().contains(7));
+    observer.forget({"a", 2});
+    CHECK_FALSE(observer.byBackend().contains(7));
+    CHECK(observer.heardShare(Start + 10s) == 1);
+}
+
 TEST_CASE("work of a silent or restarted sender is dropped", "[workledger]")
 {
     WorkLedger source;
