Prefer strong instances as gateways, decode each document once

Change: selectGateways() takes strong instances only while there are two of them that can carry the calls; a strained one, whose timers fire late, ranks behind. Deferred prompts are rechecked each 100 ms. The choice of engines allocates only for a better candidate. Documents of backend servers are decoded once for each version. An instance without state waits for a peer that reads the store. Heartbeats without work each 2 s, ticks of the state watch each 100 ms.

Placement still packs engines to their last slot; next.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -74,6 +74,8 @@
     RepeatLimits repeats;
     /// Interval at which a call without a free backend server is tried again.
     Duration recheckInterval = std::chrono::milliseconds(20);
+    /// The same for a deferred prompt, which waits for seconds and whose choice is the most expensive one to compute.
+    Duration deferralRecheckInterval = std::chrono::milliseconds(100);
     /// Share of the time from arrival to deadline that a call may wait for a place before it is refused.
     double maximumWaitShare = 0.35;
     /// Safety margin by which a deferred prompt starts ahead of its latest start time, for delays that the model does
--- a/src/include/pomeloentry/gateways.h
+++ b/src/include/pomeloentry/gateways.h
@@ -21,12 +21,17 @@
 /// Limits of the number of gateways.
 struct GatewayPolicy
 {
-    /// Number of gateways of the whole fleet, shared evenly by the failure domains.
+    /// Maximum number of gateways of the whole fleet while the load needs no more, shared evenly by the failure domains.
     std::size_t fleetGateways = 24;
-    /// Minimum number in each failure domain: the sudden loss of half of them still leaves several.
+    /// Minimum of that number in each failure domain: the sudden loss of half of them still leaves several.
     std::size_t minimumPerDomain = 4;
+    /// Number of strong instances that carry the calls of a failure domain without weaker ones. Callers spread evenly
+    /// over all gateways, so that a weak one would get as many calls as a strong one.
+    std::size_t strongEnough = 2;
+    /// Instances with at least this share of the strongest one's processor time are strong.
+    double strongShare = 0.5;
     /// Rate of calls, per second, that one processor core carries while it has headroom for a burst.
-    double callsPerCore = 100;
+    double callsPerCore = 250;
 };
 
 /// The properties of an instance that its rank depends on.
--- a/src/include/pomeloentry/peertable.h
+++ b/src/include/pomeloentry/peertable.h
@@ -154,7 +154,7 @@
     /// lost.
     static constexpr pomeloport::Duration WorkingSilence = std::chrono::milliseconds(900);
     /// The same for other peers, whose datagrams are less frequent.
-    static constexpr pomeloport::Duration IdleSilence = std::chrono::milliseconds(3'500);
+    static constexpr pomeloport::Duration IdleSilence = std::chrono::milliseconds(5'000);
     /// Addresses from which nothing is received are dropped after this time.
     static constexpr pomeloport::Duration AddressLifetime = std::chrono::seconds(30);
 
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -231,12 +231,8 @@
 
     /// Worth lost by latency-sensitive streams that arrive while the parts are prefilled and find no engine that can
     /// start them in time.
-    double crowdingCost(const RatedEngine &answeringEngine, const std::vector<const RatedEngine *> &helpers) const
+    double crowdingCost(double startableAfter) const
     {
-        double startableAfter = m_startable + answeringEngine.startableChange;
-        for (const auto *helper : helpers) {
-            startableAfter += helper->startableChange;
-        }
         const auto unplaced = [this](double places) {
             return std::max(m_neededStreams - places, 0.0);
         };
@@ -282,6 +278,7 @@
         }
     }
 
+    /// Considers an engine as the one that answers, with the best helpers besides it.
     void considerAnsweringEngine(const RatedEngine &answeringEngine,
                                  const std::vector<const RatedEngine *> &helpers,
                                  std::size_t parts,
@@ -291,52 +288,62 @@
         if (!hasSlot(answeringEngine)) {
             return;
         }
-        const double slowdown = answeringEngine.candidate->slowdown;
-        EngineChoice choice;
-        choice.answeringEngine = answeringEngine.candidate->backend;
-        choice.partPrefillMs = partPrefillMs;
-        choice.costToOthers = costToOthers(answeringEngine, partPrefillMs * slowdown)
-            + answeringEngine.candidate->failureRate * m_work.worth;
+        // The parts of all engines have the same size, so its cost to others is that of a helper.
+        double cost = answeringEngine.helperCostToOthers;
         double finishMs = m_policy.roundTripMs + passWaitMs(answeringEngine) + answeringEngine.load.backlogMs
-            + partPrefillMs * slowdown;
-        std::vector<const RatedEngine *> chosen;
-        for (const auto *helper : helpers) {
-            if (choice.helpers.size() + 1 == parts) {
-                break;
-            }
-            if (helper == &answeringEngine) {
+            + partPrefillMs * answeringEngine.candidate->slowdown;
+        double startableAfter = m_startable + answeringEngine.startableChange;
+        std::size_t taken = 0;
+        for (std::size_t i = 0; i < helpers.size() && taken + 1 < parts; ++i) {
+            if (helpers[i] == &answeringEngine) {
                 continue;
             }
-            chosen.push_back(helper);
-            choice.helpers.push_back(helper->candidate->backend);
-            choice.costToOthers += helper->helperCostToOthers;
-            finishMs = std::max(finishMs, helper->helperFinishMs);
+            ++taken;
+            cost += helpers[i]->helperCostToOthers;
+            finishMs = std::max(finishMs, helpers[i]->helperFinishMs);
+            startableAfter += helpers[i]->startableChange;
         }
-        if (choice.helpers.size() + 1 < parts || !planReservations(answeringEngine, chosen, choice)) {
+        if (taken + 1 < parts) {
             return;
         }
-        choice.costToOthers += crowdingCost(answeringEngine, chosen);
+        cost += crowdingCost(startableAfter);
         const double firstEventMs = finishMs + answeringEngine.passMs;
-        const bool latencySensitive = m_work.eventGap < m_policy.latencySensitiveGap;
-        double loss = choice.costToOthers + ownLoss(firstEventMs);
-        loss += m_policy.helperCost * static_cast<double>(parts - 1);
-        loss +=
-            m_work.worth * m_policy.ticketCost * static_cast<double>(std::ranges::count_if(choice.tickets, isPositive));
-        if (latencySensitive && !answeringEngine.load.latencySensitive) {
+        double loss = cost + ownLoss(firstEventMs) + m_policy.helperCost * static_cast<double>(parts - 1)
+            + answeringEngine.tieLoss;
+        if (m_work.eventGap < m_policy.latencySensitiveGap && !answeringEngine.load.latencySensitive) {
             loss += m_work.worth * m_policy.spreadCost;
         }
         if (answeringEngine.load.requests + 1 >= m_cost.slots) {
             loss += m_work.worth * m_policy.lastSlotCost;
         }
-        loss += answeringEngine.tieLoss;
-        if (!result || loss < result->loss) {
-            choice.loss = loss;
-            choice.lateProbability = lateProbabilityAt(firstEventMs);
-            choice.abandonProbability = abandonProbabilityAt(firstEventMs);
-            choice.backlogMs = m_backlogMs / static_cast<double>(m_engines.size());
-            choice.predictedFirst = fromMilliseconds(firstEventMs);
-            result = std::move(choice);
+        if (result && loss >= result->loss) {
+            return;
+        }
+        EngineChoice choice;
+        std::vector<const RatedEngine *> chosen;
+        for (std::size_t i = 0; chosen.size() + 1 < parts; ++i) {
+            if (helpers[i] != &answeringEngine) {
+                chosen.push_back(helpers[i]);
+                choice.helpers.push_back(helpers[i]->candidate->backend);
+            }
+        }
+        if (!planReservations(answeringEngine, chosen, choice)) {
+            return;
+        }
+        loss +=
+            m_work.worth * m_policy.ticketCost * static_cast<double>(std::ranges::count_if(choice.tickets, isPositive));
+        if (result && loss >= result->loss) {
+            return;
         }
+        choice.answeringEngine = answeringEngine.candidate->backend;
+        choice.partPrefillMs = partPrefillMs;
+        choice.costToOthers = cost;
+        choice.loss = loss;
+        choice.lateProbability = lateProbabilityAt(firstEventMs);
+        choice.abandonProbability = abandonProbabilityAt(firstEventMs);
+        choice.backlogMs = m_backlogMs / static_cast<double>(m_engines.size());
+        choice.predictedFirst = fromMilliseconds(firstEventMs);
+        result = std::move(choice);
     }
 
     const PromptWork &m_work;
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -253,7 +253,7 @@
         }
         trace.reason = "its prefill would delay prompts that are worth more";
         if (mayDefer(work, cost, now)) {
-            return WaitUntil{now + m_policy.recheckInterval};
+            return WaitUntil{std::min(now + m_policy.deferralRecheckInterval, latestStart(work, cost))};
         }
     }
     const bool worthwhile = choice.costToOthers + (isLong ? price : 0) < remainingWorth;
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -37,10 +37,12 @@
 constexpr Duration ReaderFetchDelay = std::chrono::milliseconds(250);
 /// Other instances wait this long before fetching, so that one fetch covers several changes.
 constexpr Duration FetchDelay = std::chrono::milliseconds(20);
-constexpr std::chrono::milliseconds TickInterval{50};
+constexpr std::chrono::milliseconds TickInterval{100};
 /// Time after a start in which an instance that is no seed waits for the state of a peer before it reads the store. All
 /// instances of a fleet may start at once, and the store limits the rate of calls.
 constexpr std::chrono::milliseconds PeerStateTime{500};
+/// The same while a peer gets answers from the store, which has no documents then or whose state is being fetched.
+constexpr Duration ReaderStateTime = std::chrono::seconds(10);
 constexpr std::chrono::milliseconds FetchTimeout{800};
 
 std::size_t indexOf(wire::DocumentKind kind)
@@ -303,21 +305,33 @@
     }
 }
 
+/// Returns the decoded document of a backend server, or null if it cannot be read. Each version is decoded once, since
+/// most changes concern a single one of many backend servers.
+const BackendEntry *FleetWatch::decodedBackend(const std::string &name, const StoredDocument &document)
+{
+    auto &decoded = m_decodedBackends[name];
+    if (decoded.version != document.version) {
+        decoded.version = document.version;
+        decoded.backend = wire::decodeBackend(name, document.text);
+        if (!decoded.backend) {
+            logEvent(LogLevel::Warning, "backend_unreadable", {{"backend", name}, {"detail", lastReason()}});
+        }
+    }
+    return decoded.backend ? &*decoded.backend : nullptr;
+}
+
 /// Decodes the documents and publishes the resulting state; with announce, peers are notified at once.
 void FleetWatch::publish(bool announce)
 {
     adoptRouting();
     auto next = std::make_shared<FleetState>();
     next->routing = m_routing;
-    for (const auto &[name, entry] : kind(wire::DocumentKind::Backends).documents.documents()) {
-        auto backend = wire::decodeBackend(name, entry.text);
-        if (!backend) {
-            if (std::exchange(m_unreadableVersions[name], entry.version) != entry.version) {
-                logEvent(LogLevel::Warning, "backend_unreadable", {{"backend", name}, {"detail", lastReason()}});
-            }
-            continue;
+    const auto &documents = kind(wire::DocumentKind::Backends).documents.documents();
+    std::erase_if(m_decodedBackends, [&documents](const auto &entry) { return !documents.contains(entry.first); });
+    for (const auto &[name, document] : documents) {
+        if (const auto *backend = decodedBackend(name, document)) {
+            next->backends.emplace(name, *backend);
         }
-        next->backends.emplace(name, std::move(*backend));
     }
     logChanges(*m_core->fleet.current(), *next);
     refreshCopies();
@@ -381,12 +395,16 @@
         m_isReader = isReader;
         logEvent(LogLevel::Info, "store_reader", {{"reads", isReader}, {"live_instances", peers.size() + 1}});
     }
-    if (steadyNow() < m_readsStoreFrom) {
+    const auto now = steadyNow();
+    if (now < m_readsStoreFrom) {
         return;
     }
+    const bool peerReads = std::ranges::any_of(
+        peers, [](const PeerView &peer) { return peer.contact == StoreContact::Answering; });
+    const bool expectsState = peerReads && now < m_readsStoreFrom + ReaderStateTime;
     for (auto &entry : m_kinds) {
         const bool hasState = entry.hasList || entry.documents.asOf() > 0;
-        if ((isReader || !hasState) && !entry.callPending) {
+        if ((isReader || (!hasState && !expectsState)) && !entry.callPending) {
             continueReading(entry);
         }
     }
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -66,6 +66,7 @@
     void publish(bool announce);
     void refreshCopies();
     void adoptRouting();
+    const BackendEntry *decodedBackend(const std::string &name, const StoredDocument &document);
     void logChanges(const FleetState &before, const FleetState &next);
     void shareKnownChanges();
     void tick();
@@ -85,8 +86,13 @@
     std::shared_ptr<const RoutingTable> m_routing;
     /// Store version of the last routing document that was decoded, successfully or not.
     std::uint64_t m_routingDecoded = 0;
-    /// Documents that could not be decoded, with the last version for which that was logged.
-    std::map<std::string, std::uint64_t> m_unreadableVersions;
+    /// Decoded document of a backend server; without a value if that version cannot be read.
+    struct DecodedBackend
+    {
+        std::uint64_t version = 0;
+        std::optional<BackendEntry> backend;
+    };
+    std::map<std::string, DecodedBackend> m_decodedBackends;
     std::mutex m_copyMutex;
     DocumentCopy m_routingCopy;
     DocumentCopy m_backendsCopy;
--- a/src/libpomeloentry/gateways.cpp
+++ b/src/libpomeloentry/gateways.cpp
@@ -46,12 +46,17 @@
     for (const auto &candidate : ready) {
         callRate += candidate.callRate;
     }
-    const auto base = baseGateways(policy, failureDomains);
-    const double neededCores = callRate / policy.callsPerCore;
-    double cores = 0;
-    std::size_t count = 0;
-    while (count < ready.size() && (count < base || cores < neededCores)) {
-        cores += ready[count].rank.processorMilli / MilliPerCore;
+    const auto isStrong = [&](const GatewayCandidate &candidate) {
+        return candidate.rank.processorMilli >= policy.strongShare * ready.front().rank.processorMilli;
+    };
+    const auto strong = static_cast<std::size_t>(std::ranges::count_if(ready, isStrong));
+    const auto base = std::min(baseGateways(policy, failureDomains), ready.size());
+    auto count = strong >= policy.strongEnough ? std::min(strong, base) : base;
+    const auto canCarry = [&](std::size_t gateways) {
+        const double weakest = ready[gateways - 1].rank.processorMilli / MilliPerCore;
+        return callRate / static_cast<double>(gateways) <= weakest * policy.callsPerCore;
+    };
+    while (count > 0 && count < ready.size() && !canCarry(count)) {
         ++count;
     }
     ready.resize(count);
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -18,8 +18,8 @@
 constexpr std::chrono::milliseconds WorkingInterval{250};
 /// Added to the interval for each receiver of reports, which bounds the traffic of an instance.
 constexpr std::chrono::milliseconds WorkingIntervalPerPeer{2};
-/// Interval of heartbeats without work: three of them fit into PeerTable::IdleSilence.
-constexpr std::chrono::milliseconds IdleInterval{1'000};
+/// Interval of heartbeats without work: two of them fit into PeerTable::IdleSilence.
+constexpr std::chrono::milliseconds IdleInterval{2'000};
 /// Changes are batched for this long.
 constexpr std::chrono::milliseconds ChangeInterval{4};
 /// An instance that is no gateway reports its work for this long after its last prompt has ended, since callers that
@@ -30,6 +30,8 @@
 constexpr double ReportedCallRate = 5;
 /// Time after a start in which an instance is no gateway, since it does not know its failure domain yet.
 constexpr Duration SettlingTime = std::chrono::milliseconds(800);
+/// A strained instance reports this share of its processor time, which ranks it behind all instances of equal strength.
+constexpr std::uint32_t StrainedDivisor = 8;
 /// Number of other instances named in each heartbeat.
 constexpr std::size_t SharedPeers = 4;
 /// Number of other instances named in the introduction to a new one; together they fit into one datagram.
@@ -141,7 +143,28 @@
 GatewayCandidate PeerMesh::ownGatewayCandidate() const
 {
     const auto &settings = m_core->settings;
-    return {{settings.instance, settings.processorMilli}, settings.callerAddress, m_callRate.perSecond()};
+    return {{settings.instance, processorMilli()}, settings.callerAddress, m_callRate.perSecond()};
+}
+
+/// Processor time that this instance can offer. Requires the mutex.
+std::uint32_t PeerMesh::processorMilli() const
+{
+    const auto declared = m_core->settings.processorMilli;
+    return m_strain.isStrained() ? declared / StrainedDivisor : declared;
+}
+
+/// Records by how much the heartbeat is late, which shows whether this instance is short of processor time.
+void PeerMesh::recordHeartbeatTime(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool before = m_strain.isStrained();
+    const auto due = std::chrono::time_point_cast<Duration>(m_heartbeatTimer.expiry());
+    m_strain.timerFired(now - due, now);
+    if (m_strain.isStrained() != before) {
+        logEvent(LogLevel::Warning,
+                 "processor_strain",
+                 {{"strained", m_strain.isStrained()}, {"late_ms", (now - due).count() / 1000}});
+    }
 }
 
 /// Whether this instance is one of the gateways of its failure domain. Requires the mutex.
@@ -292,6 +315,7 @@
     m_heartbeatTimer.expires_after(interval);
     m_heartbeatTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
+            self->recordHeartbeatTime(steadyNow());
             self->updateRole();
             self->sendHeartbeat();
             self->armHeartbeatTimer();
@@ -402,7 +426,7 @@
     const std::lock_guard lock(m_mutex);
     return {settings.callerAddress,
             settings.failureDomain,
-            settings.processorMilli,
+            processorMilli(),
             static_cast<float>(m_callRate.perSecond()),
             {}};
 }
--- a/src/libpomeloentry/peermesh.h
+++ b/src/libpomeloentry/peermesh.h
@@ -5,6 +5,7 @@
 #include "pomeloentry/callrate.h"
 #include "pomeloentry/gateways.h"
 #include "pomeloentry/peertable.h"
+#include "pomeloentry/processorstrain.h"
 #include "pomeloentry/storereaders.h"
 
 #include "pomeloport/transport/datagramsocket.h"
@@ -68,6 +69,8 @@
     void updateRole();
     bool isGateway(Instant now) const;
     GatewayCandidate ownGatewayCandidate() const;
+    std::uint32_t processorMilli() const;
+    void recordHeartbeatTime(Instant now);
     void send(const PeerMessage &message, const std::vector<std::string> &addresses);
     PeerMessage message() const;
     PeerDescription ownDescription() const;
@@ -83,6 +86,7 @@
     bool m_configured = false;
     bool m_stopped = false;
     CallRate m_callRate;
+    ProcessorStrain m_strain;
     Instant m_startedAt;
     /// Whether this instance exchanges work: it is a gateway, takes many calls, or had prompts until recently.
     bool m_exchangesWork = false;
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -56,6 +56,8 @@
     constexpr double MaximumCallRate = 100'000;
     policy.fleetGateways = reader.number("fleet", policy.fleetGateways, 1, GatewayLimit);
     policy.minimumPerDomain = reader.number("minimum_per_domain", policy.minimumPerDomain, 1, GatewayLimit);
+    policy.strongEnough = reader.number("strong_enough", policy.strongEnough, 1, GatewayLimit);
+    policy.strongShare = reader.real("strong_share", policy.strongShare, 0, 1);
     policy.callsPerCore = reader.real("calls_per_core", policy.callsPerCore, 1, MaximumCallRate);
     reader.finish();
 }
@@ -75,6 +77,7 @@
     readEngines(reader->section("engines"), policy.engines);
     readGateways(reader->section("gateways"), policy.gateways);
     readTime(*reader, "wait_step", policy.recheckInterval);
+    readTime(*reader, "held_wait_step", policy.deferralRecheckInterval);
     readReal(*reader, "longest_wait", policy.maximumWaitShare);
     readReal(*reader, "patience_factor", policy.patienceFactor);
     readTime(*reader, "least_patience", policy.minimumPatience);
