Raise the price of prefill at a higher utilisation in a large fleet of engines

The price of prefill was tuned for 16 and 21 engines. Change: the spare share at which the price rises shrinks with the square root of the number of engines.

--- a/src/include/pomeloentry/engineplacement.h
+++ b/src/include/pomeloentry/engineplacement.h
@@ -121,6 +121,8 @@
     /// Utilisation of all engines by arriving prefill work between which that price rises from zero to its full value.
     double busyFrom = 0.5;
     double busyTo = 0.9;
+    /// Number of engines up to which these two hold; with more engines, the price rises at a higher utilisation.
+    double referenceEngines = 21;
     /// Utilisation that each second of backlog per engine counts for in addition.
     double busyPerBacklogSecond = 0.3;
     /// Time to the first event, in milliseconds, that is kept attainable for arriving latency-sensitive streams, and
--- a/src/libpomeloentry/engineplacement.cpp
+++ b/src/libpomeloentry/engineplacement.cpp
@@ -401,7 +401,11 @@
     const double seconds = prefillTimeMs(cost, static_cast<double>(work.promptTokens)) / MsPerSecond;
     const double backlog = choice.backlogMs / MsPerSecond + seconds / count;
     const double busy = demand.prefillRate / count + policy.busyPerBacklogSecond * backlog;
-    const double share = std::clamp((busy - policy.busyFrom) / (policy.busyTo - policy.busyFrom), 0.0, 1.0);
+    // The spare capacity that keeps delays short grows with the square root of the number of engines only.
+    const double spare = std::sqrt(std::min(policy.referenceEngines / count, 1.0));
+    const double busyFrom = 1 - (1 - policy.busyFrom) * spare;
+    const double busyTo = 1 - (1 - policy.busyTo) * spare;
+    const double share = std::clamp((busy - busyFrom) / (busyTo - busyFrom), 0.0, 1.0);
     return policy.prefillPrice * share * seconds;
 }
 
--- a/src/libpomeloentry/engineplacement_test.cpp
+++ b/src/libpomeloentry/engineplacement_test.cpp
@@ -209,6 +209,29 @@
     CHECK(shouldDefer(work, *choice, price(40), policy));
 }
 
+// Load pattern: a burst of long prompts keeps six of ten engines busy. With 134 engines, fifty are idle at any moment;
+// prompts of more than 430k tokens were refused all the same, and others deferred until they were late.
+TEST_CASE("a large fleet serves a huge prompt at a utilisation at which a small fleet defers it", "[engineplacement]")
+{
+    EnginePolicy policy;
+    policy.prefillPrice = 4;
+    policy.busyFrom = 0.35;
+    policy.busyTo = 0.8;
+    constexpr double Utilisation = 0.6;
+    const auto defers = [&policy](std::size_t engines) {
+        Fleet fleet(engines);
+        auto work = longPrompt(645'000);
+        work.worth = 49;
+        const auto choice = fleet.choose(work);
+        REQUIRE(choice);
+        const auto rate = Utilisation * static_cast<double>(engines);
+        const double price = prefillPrice(work, engineCost(), *choice, engines, {rate, 0}, policy);
+        return shouldDefer(work, *choice, price, policy);
+    };
+    CHECK(defers(16));
+    CHECK_FALSE(defers(134));
+}
+
 TEST_CASE("a prompt whose caller will have given up is deferred even at zero price", "[engineplacement]")
 {
     Fleet fleet(1);
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -39,6 +39,8 @@
     readReal(reader, "reading_price", policy.prefillPrice);
     readReal(reader, "busy_from", policy.busyFrom);
     readReal(reader, "busy_to", policy.busyTo);
+    constexpr double EngineLimit = 10'000;
+    policy.referenceEngines = reader.real("reference_engines", policy.referenceEngines, 1, EngineLimit);
     readReal(reader, "busy_per_backlog", policy.busyPerBacklogSecond);
     readReal(reader, "held_chance", policy.deferredLateChance);
     readReal(reader, "tight_worth", policy.latencySensitiveWorth);
