Give up reserved memory that no request uses; read the store's changes in batches

Change: ReservationUse decides from the operators' idle limit: after half of it the engine is asked whether the reservation is in use, after three quarters an unused one ends the attempt and is freed. A slow prefill that uses it goes on. Tests first: without checkUse() the holder reports nothing. Beside it, readers of the store wait 100 ms after a watch that reported changes, since each registration of a backend server at the start cost one call of each reader.

--- a/src/include/pomeloentry/entrysettings.h
+++ b/src/include/pomeloentry/entrysettings.h
@@ -46,6 +46,8 @@
     std::chrono::seconds retryWindow{10};
     /// Engine memory must be free again this long after the last use of its reservation.
     std::chrono::milliseconds reservationTimeout{4000};
+    /// Engine memory may stay reserved for this long without a request that uses it.
+    std::chrono::milliseconds reservationIdleLimit{9000};
     std::string logLevel = "info";
     /// Placement policy.
     EntryPolicy policy;
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -237,6 +237,12 @@
             } else {
                 self->feed(event::GroupRefused{std::get<Failure>(settled)});
             }
+        },
+        [weak = weak_from_this()](const std::string &backend) {
+            const auto self = weak.lock();
+            if (self && !self->m_finished && self->m_attempt.number > 0 && !self->m_attempt.closed) {
+                self->failAttempt("the memory reserved at " + backend + " stays unused");
+            }
         });
     m_groupReservation->start();
 }
@@ -467,6 +473,9 @@
         }
         if (!std::exchange(m_attempt.answered, true)) {
             m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
+            if (m_groupReservation) {
+                m_groupReservation->answered();
+            }
         }
         const auto step = m_position.step(next, m_attemptCount);
         if (step == StreamPosition::Step::Break) {
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -26,6 +26,8 @@
 /// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus the
 /// timeout, so it is kept short: changes must take effect within seconds.
 constexpr std::chrono::milliseconds WatchWait{2'000};
+/// Pause after a watch that reported changes, so that one call covers several of them.
+constexpr std::chrono::milliseconds WatchPause{100};
 /// Without a call to the store within this time, its availability counts as unknown.
 constexpr Duration ContactMemory = std::chrono::seconds(5);
 /// Entries that expired during an outage of the store are written again within about two seconds of its return.
@@ -207,7 +209,21 @@
         refreshCopies();
         shareKnownChanges();
     }
-    continueReading(kind);
+    if (reply.objects.empty()) {
+        continueReading(kind);
+    } else {
+        continueReadingAfter(kind, WatchPause);
+    }
+}
+
+void FleetWatch::continueReadingAfter(KindState &kind, std::chrono::milliseconds delay)
+{
+    kind.timer->expires_after(delay);
+    kind.timer->async_wait([self = shared_from_this(), &kind](boost::system::error_code error) {
+        if (!error) {
+            self->continueReading(kind);
+        }
+    });
 }
 
 void FleetWatch::retryLater(KindState &kind, const StoreReply &reply)
@@ -224,12 +240,7 @@
                  {{"dependency", "store"}, {"kind", nameOf(kind.kind)}, {"status", nameOf(reply.status)}});
     }
     shareKnownChanges();
-    kind.timer->expires_after(jittered(retryDelay(++kind.failures)));
-    kind.timer->async_wait([self = shared_from_this(), &kind](boost::system::error_code error) {
-        if (!error) {
-            self->continueReading(kind);
-        }
-    });
+    continueReadingAfter(kind, jittered(retryDelay(++kind.failures)));
 }
 
 void FleetWatch::recordStoreAnswer(KindState &kind)
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -61,6 +61,7 @@
     void watch(KindState &kind);
     void onWatchReply(KindState &kind, const pomeloport::StoreReply &reply);
     void continueReading(KindState &kind);
+    void continueReadingAfter(KindState &kind, std::chrono::milliseconds delay);
     void retryLater(KindState &kind, const pomeloport::StoreReply &reply);
     void recordStoreAnswer(KindState &kind);
     void publish(bool announce);
--- a/src/libpomeloentry/groupreservation.cpp
+++ b/src/libpomeloentry/groupreservation.cpp
@@ -22,11 +22,13 @@
 GroupReservation::GroupReservation(std::shared_ptr<EntryCore> core,
                                    Executor executor,
                                    GroupRequest request,
-                                   Completion completion)
+                                   Completion completion,
+                                   Unused unused)
     : m_core(std::move(core))
     , m_executor(executor)
     , m_request(std::move(request))
     , m_completion(std::move(completion))
+    , m_unused(std::move(unused))
     , m_timer(executor)
 {
 }
@@ -68,6 +70,12 @@
         return;
     }
     m_tickets = std::make_shared<TicketHolder>(m_core, m_executor, std::move(tickets));
+    m_tickets->onUnused([weak = weak_from_this()](const std::string &backend) {
+        const auto self = weak.lock();
+        if (self && !self->m_released) {
+            self->m_unused(backend);
+        }
+    });
     m_tickets->reserve([weak = weak_from_this()](const std::string &failed) {
         const auto self = weak.lock();
         if (self && !self->m_released) {
@@ -123,6 +131,13 @@
     });
 }
 
+void GroupReservation::answered()
+{
+    if (m_tickets) {
+        m_tickets->answered();
+    }
+}
+
 void GroupReservation::release()
 {
     m_released = true;
--- a/src/libpomeloentry/groupreservation.h
+++ b/src/libpomeloentry/groupreservation.h
@@ -40,10 +40,20 @@
     /// Receives the route, or the failure when no reservation was possible. Called once, unless released earlier.
     using Completion = std::function<void(const std::variant<pomeloport::Route, pomeloport::Failure> &)>;
 
-    GroupReservation(std::shared_ptr<EntryCore> core, Executor executor, GroupRequest request, Completion completion);
+    /// Receives the id of an engine at which memory stays reserved without being used. Called once at most.
+    using Unused = std::function<void(const std::string &backend)>;
+
+    GroupReservation(std::shared_ptr<EntryCore> core,
+                     Executor executor,
+                     GroupRequest request,
+                     Completion completion,
+                     Unused unused);
 
     void start();
 
+    /// Records that the first event of the answer has come.
+    void answered();
+
     /// Frees the reserved memory and stops planning.
     void release();
 
@@ -60,6 +70,7 @@
     Executor m_executor;
     GroupRequest m_request;
     Completion m_completion;
+    Unused m_unused;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<TicketHolder> m_tickets;
     pomeloport::Route m_route;
--- a/src/libpomeloentry/ticketholder.cpp
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace pomeloentry
 {
@@ -26,6 +27,15 @@
 constexpr int RenewalsPerHold = 3;
 constexpr int ReleaseAttempts = 3;
 
+std::vector<std::string> namesOf(const std::vector<Ticket> &tickets)
+{
+    std::vector<std::string> result;
+    for (const auto &ticket : tickets) {
+        result.push_back(ticket.name);
+    }
+    return result;
+}
+
 } // namespace
 
 TicketHolder::TicketHolder(std::shared_ptr<EntryCore> core, Executor executor, std::vector<Ticket> tickets)
@@ -35,7 +45,18 @@
     , m_tickets(std::move(tickets))
     , m_holdTime(
           static_cast<std::int64_t>(static_cast<double>(m_core->settings.reservationTimeout.count()) * HoldTimeShare))
+    , m_use(namesOf(m_tickets), steadyNow(), m_core->settings.reservationIdleLimit)
+{
+}
+
+void TicketHolder::onUnused(std::function<void(const std::string &backend)> callback)
 {
+    m_unusedCallback = std::move(callback);
+}
+
+void TicketHolder::answered()
+{
+    m_use.answered();
 }
 
 const std::vector<Ticket> &TicketHolder::tickets() const
@@ -82,6 +103,7 @@
     m_timer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error && !self->m_released) {
             self->renew();
+            self->checkUse();
         }
     });
 }
@@ -102,6 +124,42 @@
     armRenewal();
 }
 
+void TicketHolder::checkUse()
+{
+    const auto step = m_use.step(steadyNow());
+    if (step == ReservationUse::Step::Keep) {
+        return;
+    }
+    for (const auto &ticket : m_tickets) {
+        if (std::ranges::find(m_use.unused(), ticket.name) == m_use.unused().end()) {
+            continue;
+        }
+        if (step == ReservationUse::Step::Check) {
+            requestReport(ticket);
+        } else if (m_unusedCallback) {
+            logEvent(LogLevel::Warning, "ticket_unused", {{"ticket", ticket.name}, {"backend", ticket.backend}});
+            std::exchange(m_unusedCallback, nullptr)(ticket.backend);
+            return;
+        }
+    }
+}
+
+void TicketHolder::requestReport(const Ticket &ticket)
+{
+    auto call = wire::encodeReportCall(ticket.address);
+    call.timeout = AnswerTimeout;
+    m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
+        const auto used =
+            reply && reply->status == StatusOk ? wire::decodeUsedReservations(reply->body) : std::nullopt;
+        logEvent(LogLevel::Info,
+                 "ticket_report",
+                 {{"ticket", ticket.name}, {"backend", ticket.backend}, {"readable", used.has_value()}});
+        if (used) {
+            boost::asio::post(self->m_executor, [self, used] { self->m_use.reported(*used); });
+        }
+    });
+}
+
 void TicketHolder::release()
 {
     if (std::exchange(m_released, true)) {
@@ -109,6 +167,7 @@
     }
     m_timer.cancel();
     m_reserveCallback = nullptr;
+    m_unusedCallback = nullptr;
     for (const auto &ticket : m_tickets) {
         sendRelease(ticket, ReleaseAttempts);
     }
--- /dev/null
+++ b/src/libpomeloentry/ticketholder_test.cpp
@@ -0,0 +1,77 @@
+#include "ticketholder.h"
+
+#include "../libpomeloport/transport/httpfixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+using Step = ReservationUse::Step;
+
+namespace
+{
+
+constexpr auto Start = Instant(1h);
+
+/// Reserves memory for one ticket at an engine that grants it and reports this state of it. Returns the engine for which
+/// the holder reports that it stays unused, or an empty string after two idle limits.
+std::string unusedEngine(const std::string &state, bool answered)
+{
+    pomeloport::detail::ServerFixture engine([&state](const std::shared_ptr<pomeloport::HttpExchange> &exchange) {
+        const bool isReport = exchange->request().method == "GET";
+        exchange->reply(200,
+                        "application/json",
+                        isReport ? R"({"tickets":[{"id":"t","tokens":9,"state":")" + state + R"("}]})" : R"({"free":1})");
+    });
+    boost::asio::io_context context;
+    EntrySettings settings;
+    settings.reservationTimeout = 80ms;
+    settings.reservationIdleLimit = 400ms;
+    const auto core = std::make_shared<EntryCore>(context, settings, 1);
+    const auto holder = std::make_shared<TicketHolder>(
+        core, boost::asio::make_strand(context), std::vector<Ticket>{{"e", engine.server->address(), "t", 9}});
+    std::string result;
+    holder->onUnused([&result](const std::string &backend) { result = backend; });
+    holder->reserve([&holder, answered](const std::string &failed) {
+        CHECK(failed.empty());
+        if (answered) {
+            holder->answered();
+        }
+    });
+    context.run_for(800ms);
+    holder->release();
+    return result;
+}
+
+} // namespace
+
+// The answering engine began with nothing for twelve seconds, while the memory of another engine stayed reserved for the
+// prompt until its caller left.
+TEST_CASE("a reservation that no request uses is given up before the idle limit", "[ticketholder]")
+{
+    ReservationUse use({"a", "b"}, Start, 9s);
+    CHECK(use.step(Start + 4s) == Step::Keep);
+    CHECK(use.step(Start + 5s) == Step::Check);
+    use.reported({"a"});
+    CHECK(use.unused() == std::vector<std::string>{"b"});
+    CHECK(use.step(Start + 7s) == Step::GiveUp);
+    CHECK(unusedEngine("held", false) == "e");
+}
+
+TEST_CASE("a slow prefill that uses its reservation is not given up", "[ticketholder]")
+{
+    ReservationUse use({"a"}, Start, 9s);
+    use.reported({"x", "a"});
+    CHECK(use.step(Start + 12s) == Step::Keep);
+    CHECK(unusedEngine("used", false).empty());
+}
+
+TEST_CASE("a reservation is in use once the answer has begun", "[ticketholder]")
+{
+    ReservationUse use({"a"}, Start, 9s);
+    use.answered();
+    CHECK(use.step(Start + 12s) == Step::Keep);
+    CHECK(unusedEngine("held", true).empty());
+}
