Bound what a backend server's response may leave unparsed

Cause: bytes that are no answer may come without end. A test with a server that sends until the caller closes took all 64 MiB of it in three forms (a chunk's extension, a trailer, informational responses), and the beginning of an event without a blank line was buffered without a limit; a process of 160 MB would have been ended for its memory. Change: 128 KiB of unparsed bytes, 16 skipped responses and 1 MiB for an event at most, then the attempt counts as broken; the client for orders and the store has the same bound. Tests red before. An endless head was bounded already.

--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -457,6 +457,9 @@
 {
     if (isStreaming()) {
         processEvents(m_attempt.events.feed(event.bytes));
+        if (m_attempt.events.overflowed() && !m_attempt.closed && !m_finished) {
+            failAttempt("an event exceeds 1 MiB");
+        }
         return;
     }
     m_attempt.body += event.bytes;
--- a/src/libpomeloentry/eventsplitter.cpp
+++ b/src/libpomeloentry/eventsplitter.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Maximum size of one event.
+constexpr std::size_t MaximumEventBytes = 1024 * 1024;
+
 /// Returns the length of the first event including its blank line, or zero while it is incomplete.
 std::size_t eventLength(std::string_view text)
 {
@@ -75,8 +78,11 @@
 
 std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
 {
-    m_buffer += bytes;
     std::vector<StreamEvent> events;
+    if (m_overflowed) {
+        return events;
+    }
+    m_buffer += bytes;
     std::string_view remaining = m_buffer;
     for (auto length = eventLength(remaining); length > 0; length = eventLength(remaining)) {
         const auto event = remaining.substr(0, length);
@@ -84,9 +90,15 @@
         remaining.remove_prefix(length);
     }
     m_buffer.erase(0, m_buffer.size() - remaining.size());
+    m_overflowed = m_buffer.size() > MaximumEventBytes;
     return events;
 }
 
+bool EventSplitter::overflowed() const
+{
+    return m_overflowed;
+}
+
 bool EventSplitter::hasPartialEvent() const
 {
     return !m_buffer.empty();
--- a/src/libpomeloentry/eventsplitter.h
+++ b/src/libpomeloentry/eventsplitter.h
@@ -55,11 +55,15 @@
     /// Appends bytes and returns the events that are now complete.
     std::vector<StreamEvent> feed(std::string_view bytes);
 
+    /// Whether an event exceeded the maximum size. Nothing more is returned then.
+    bool overflowed() const;
+
     /// Whether the buffer holds the beginning of an incomplete event.
     bool hasPartialEvent() const;
 
 private:
     std::string m_buffer;
+    bool m_overflowed = false;
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/eventsplitter_test.cpp
+++ b/src/libpomeloentry/eventsplitter_test.cpp
@@ -49,3 +49,17 @@
     position.delivered(4);
     CHECK(position.step({"", std::nullopt}, 2) == StreamPosition::Step::Break);
 }
+
+// The beginning of an event without end was buffered until the process exceeded its memory.
+TEST_CASE("an event without end is dropped after a bounded number of bytes", "[eventsplitter]")
+{
+    EventSplitter splitter;
+    const std::string block(64 << 10, 'x');
+    CHECK(splitter.feed("id: 1\ndata: " + block).empty());
+    CHECK_FALSE(splitter.overflowed());
+    for (int i = 0; i < 100; ++i) {
+        CHECK(splitter.feed(block).empty());
+    }
+    CHECK(splitter.overflowed());
+    CHECK(splitter.feed("\n\nid: 2\n\n").empty());
+}
--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t ReadBufferBytes = 4096;
 /// Maximum size of the status line and header fields of a response.
 constexpr std::uint32_t MaximumHeadBytes = 64 * 1024;
+/// Maximum number of received bytes that the parser has not consumed, such as a chunk's extension or the trailer.
+constexpr std::size_t MaximumUnparsedBytes = 2 * MaximumHeadBytes;
+/// Maximum number of informational responses, and of those to earlier calls, before the response to a call.
+constexpr unsigned MaximumSkippedResponses = 16;
 constexpr unsigned FirstFinalStatus = 200;
 /// Subtracted from the keep-alive timeout that a server announces, so that a request in transit does not reach a
 /// connection that the server is closing.
@@ -238,6 +242,10 @@
             return;
         }
         m_readDeferred = false;
+        if (m_bufferedBytes >= MaximumUnparsedBytes) {
+            emitFinal(callevent::Broken{"a part of the response exceeds the maximum size"});
+            return;
+        }
         m_reading = true;
         if (m_bufferedBytes == m_buffer.size()) {
             m_buffer.resize(m_buffer.size() * 2);
@@ -296,6 +304,10 @@
                 emitFinal(callevent::Broken{"connection closed after a response to another call"});
                 return;
             }
+            if (++m_skippedResponses > MaximumSkippedResponses) {
+                emitFinal(callevent::Broken{"too many informational responses or responses to other calls"});
+                return;
+            }
             startParser();
         }
         if (std::exchange(m_bodyDataReported, false)) {
@@ -384,6 +396,7 @@
     std::unique_ptr<ReplyParser> m_parser;
     std::vector<char> m_buffer;
     std::size_t m_bufferedBytes = 0;
+    unsigned m_skippedResponses = 0;
     bool m_reused = false;
     /// The reused connection accepted no byte of the call. A new one is opened once the pending read has failed.
     bool m_reconnecting = false;
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -58,6 +58,62 @@
     std::thread m_thread;
 };
 
+/// A server that answers one request with the given beginning and then with filler until the caller closes, at most
+/// MaximumBytes.
+class EndlessServer
+{
+public:
+    static constexpr std::size_t MaximumBytes = 64 << 20;
+
+    EndlessServer(std::string beginning, std::string filler)
+        : m_acceptor(m_context, {boost::asio::ip::make_address("127.42.0.7"), 0})
+        , m_thread([this, beginning = std::move(beginning), filler = std::move(filler)] { serve(beginning, filler); })
+    {
+    }
+    ~EndlessServer()
+    {
+        join();
+    }
+
+    std::string address() const
+    {
+        return "127.42.0.7:" + std::to_string(m_acceptor.local_endpoint().port());
+    }
+
+    /// Number of bytes that the caller took before it closed.
+    std::size_t sentBytes()
+    {
+        join();
+        return m_sentBytes;
+    }
+
+private:
+    void serve(const std::string &beginning, const std::string &filler)
+    {
+        tcp::socket socket(m_context);
+        m_acceptor.accept(socket);
+        boost::asio::streambuf buffer;
+        boost::system::error_code error;
+        boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
+        m_sentBytes += boost::asio::write(socket, boost::asio::buffer(beginning), error);
+        while (!error && m_sentBytes < MaximumBytes) {
+            m_sentBytes += boost::asio::write(socket, boost::asio::buffer(filler), error);
+        }
+    }
+
+    void join()
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    boost::asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::size_t m_sentBytes = 0;
+    std::thread m_thread;
+};
+
 /// Makes calls one at a time and records their events.
 class Caller
 {
@@ -167,6 +223,28 @@
     CHECK(callOnce("HTTP/1.1 200 O") == " broken");
 }
 
+// A server in trouble may send bytes that are no response without end. The buffer of unparsed bytes grew with them
+// until the process exceeded its memory.
+TEST_CASE("a response without end is broken off after a bounded number of bytes", "[callstream]")
+{
+    static constexpr std::size_t Bound = 8 << 20;
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string block(64 << 10, 'x');
+    const auto outcome = [&block](const std::string &beginning, const std::string &filler) {
+        Caller caller;
+        EndlessServer server(beginning, filler.empty() ? block : filler);
+        const auto events = caller.call(server.address(), "1");
+        CHECK(server.sentBytes() < Bound);
+        return events;
+    };
+    CHECK(outcome("", {}) == " broken");
+    CHECK(outcome("HTTP/1.1 200 OK\r\nField: ", {}) == " broken");
+    CHECK(outcome("HTTP/1.1 200 OK\r\n", "Field: x\r\n") == " broken");
+    CHECK(outcome(chunked + "3;", {}) == "200  broken");
+    CHECK(outcome(chunked + "3\r\nabc\r\n0\r\n", "Field: x\r\n") == "200 abc broken");
+    CHECK(outcome("", "HTTP/1.1 100 Continue\r\n\r\n") == " broken");
+}
+
 TEST_CASE("a connection with unread bytes is not reused", "[callstream]")
 {
     Caller caller;
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -23,6 +23,8 @@
 using boost::system::error_code;
 
 constexpr std::uint64_t MaximumReplyBytes = 64ULL * 1024 * 1024;
+/// Maximum number of received bytes that the parser has not consumed, such as a chunk's extension or the trailer.
+constexpr std::size_t MaximumUnparsedBytes = 128 * 1024;
 
 /// Runs one call on its own strand. Pending operations keep the session alive until the callback has run.
 class CallSession : public std::enable_shared_from_this<CallSession>
@@ -172,7 +174,7 @@
     std::unique_ptr<tcp::socket> m_socket;
     http::request<http::string_body> m_request;
     http::response_parser<http::string_body> m_parser;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{MaximumUnparsedBytes};
     bool m_reused = false;
     bool m_sent = false;
 };
