--- a/src/include/pomeloentry/gateways.h
+++ b/src/include/pomeloentry/gateways.h
@@ -21,7 +21,8 @@
 /// Limits of the number of gateways.
 struct GatewayPolicy
 {
-    /// Maximum number of gateways of the whole fleet while the load needs no more, shared evenly by the failure domains.
+    /// Maximum number of gateways of the whole fleet while the load needs no more, shared evenly by the failure
+    /// domains.
     std::size_t fleetGateways = 24;
     /// Minimum of that number in each failure domain: the sudden loss of half of them still leaves several.
     std::size_t minimumPerDomain = 4;
--- a/src/include/pomeloentry/reservationuse.h
+++ b/src/include/pomeloentry/reservationuse.h
@@ -11,9 +11,9 @@
 using pomeloport::Duration;
 using pomeloport::Instant;
 
-/// Decides how long the memory reserved for a prompt is kept while no event has come. An engine that answers nothing for
-/// many seconds may not have begun with the prompt, and then blocks memory of other engines that nobody uses; a slow
-/// prefill that does use it must not be cut off. Pure, not thread safe.
+/// Decides how long the memory reserved for a prompt is kept while no event has come. An engine that answers nothing
+/// for many seconds may not have begun with the prompt, and then blocks memory of other engines that nobody uses; a
+/// slow prefill that does use it must not be cut off. Pure, not thread safe.
 class ReservationUse
 {
 public:
--- a/src/include/pomeloentry/wire.h
+++ b/src/include/pomeloentry/wire.h
@@ -112,8 +112,8 @@
 /// Returns a call for the report of an engine.
 pomeloport::HttpCall encodeReportCall(const std::string &address);
 
-/// Returns the names of the reservations that a request uses, from an engine's report. Returns nothing and sets the last
-/// reason when the report cannot be read.
+/// Returns the names of the reservations that a request uses, from an engine's report. Returns nothing and sets the
+/// last reason when the report cannot be read.
 std::optional<std::vector<std::string>> decodeUsedReservations(std::string_view report);
 
 /// Requests and answers of service discovery and of the platform's readiness check.
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -410,8 +410,8 @@
     if (now < m_readsStoreFrom) {
         return;
     }
-    const bool peerReads = std::ranges::any_of(
-        peers, [](const PeerView &peer) { return peer.contact == StoreContact::Answering; });
+    const bool peerReads =
+        std::ranges::any_of(peers, [](const PeerView &peer) { return peer.contact == StoreContact::Answering; });
     const bool expectsState = peerReads && now < m_readsStoreFrom + ReaderStateTime;
     for (auto &entry : m_kinds) {
         const bool hasState = entry.hasList || entry.documents.asOf() > 0;
--- a/src/libpomeloentry/ticketholder.cpp
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -149,8 +149,7 @@
     auto call = wire::encodeReportCall(ticket.address);
     call.timeout = AnswerTimeout;
     m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
-        const auto used =
-            reply && reply->status == StatusOk ? wire::decodeUsedReservations(reply->body) : std::nullopt;
+        const auto used = reply && reply->status == StatusOk ? wire::decodeUsedReservations(reply->body) : std::nullopt;
         logEvent(LogLevel::Info,
                  "ticket_report",
                  {{"ticket", ticket.name}, {"backend", ticket.backend}, {"readable", used.has_value()}});
--- a/src/libpomeloentry/ticketholder.h
+++ b/src/libpomeloentry/ticketholder.h
@@ -27,7 +27,8 @@
 };
 
 /// Reserves memory at several engines for one attempt, renews the reservations while the attempt runs, and frees them.
-/// Reports reservations that the attempt does not use in time. All work runs on the given executor; the owner keeps the object until release().
+/// Reports reservations that the attempt does not use in time. All work runs on the given executor; the owner keeps the
+/// object until release().
 class TicketHolder : public std::enable_shared_from_this<TicketHolder>
 {
 public:
@@ -38,8 +39,8 @@
     /// Requests all reservations. Calls back with the id of an engine that failed, or an empty string when all granted.
     void reserve(std::function<void(const std::string &failed)> callback);
 
-    /// Sets the callback that runs once with the id of an engine at which the reservation stays unused for too long. The
-    /// owner then ends the attempt and frees the reservations.
+    /// Sets the callback that runs once with the id of an engine at which the reservation stays unused for too long.
+    /// The owner then ends the attempt and frees the reservations.
     void onUnused(std::function<void(const std::string &backend)> callback);
 
     /// Records that the first event of the answer has come.
--- a/src/libpomeloentry/ticketholder_test.cpp
+++ b/src/libpomeloentry/ticketholder_test.cpp
@@ -15,15 +15,16 @@
 
 constexpr auto Start = Instant(1h);
 
-/// Reserves memory for one ticket at an engine that grants it and reports this state of it. Returns the engine for which
-/// the holder reports that it stays unused, or an empty string after two idle limits.
+/// Reserves memory for one ticket at an engine that grants it and reports this state of it. Returns the engine for
+/// which the holder reports that it stays unused, or an empty string after two idle limits.
 std::string unusedEngine(const std::string &state, bool answered)
 {
     pomeloport::detail::ServerFixture engine([&state](const std::shared_ptr<pomeloport::HttpExchange> &exchange) {
         const bool isReport = exchange->request().method == "GET";
         exchange->reply(200,
                         "application/json",
-                        isReport ? R"({"tickets":[{"id":"t","tokens":9,"state":")" + state + R"("}]})" : R"({"free":1})");
+                        isReport ? R"({"tickets":[{"id":"t","tokens":9,"state":")" + state + R"("}]})"
+                                 : R"({"free":1})");
     });
     boost::asio::io_context context;
     EntrySettings settings;
@@ -47,8 +48,8 @@
 
 } // namespace
 
-// The answering engine began with nothing for twelve seconds, while the memory of another engine stayed reserved for the
-// prompt until its caller left.
+// The answering engine began with nothing for twelve seconds, while the memory of another engine stayed reserved for
+// the prompt until its caller left.
 TEST_CASE("a reservation that no request uses is given up before the idle limit", "[ticketholder]")
 {
     ReservationUse use({"a", "b"}, Start, 9s);
