Divide reports of work by size, so that all of them fit datagrams

Full reports with several long prompts were not sent at all, and changes beyond sixteen were dropped until the next full report. Change: pieces and changes are limited by their encoded size; what does not fit stays for the next message. The comment of selectGateways() follows its rule.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -160,8 +160,8 @@
     using ChangeCallback = std::function<void(WorkChange change)>;
     void onWorkChanged(ChangeCallback callback);
 
-    /// Changes to own work since the last call, for other instances; nothing when there are none. See WorkLedger for
-    /// the full reports and snapshots.
+    /// Changes to own work for other instances, as many as fit a datagram; nothing when there are none. See WorkLedger
+    /// for the full reports and snapshots.
     std::optional<WorkReport> takeChanges(Instant now);
     std::vector<WorkReport> fullReports(Instant now);
     std::vector<WorkReport> snapshots(Instant now);
--- a/src/include/pomeloentry/gateways.h
+++ b/src/include/pomeloentry/gateways.h
@@ -59,9 +59,9 @@
 /// Number of gateways in a failure domain before its load is considered.
 std::size_t baseGateways(const GatewayPolicy &policy, std::size_t failureDomains);
 
-/// Selects the gateways among the ready instances of one failure domain, in order of rank: the base number, and more
-/// while the processor time of the selected ones falls short of the domain's rate of calls. Every instance of the
-/// domain makes the same selection from the same candidates.
+/// Selects the gateways among the ready instances of one failure domain, in order of rank: the strong ones, or the base
+/// number if there are too few of these, and more while the weakest of the selected ones cannot carry its share of the
+/// domain's calls. Every instance of the domain makes the same selection from the same candidates.
 std::vector<GatewayCandidate> selectGateways(std::vector<GatewayCandidate> ready,
                                              const GatewayPolicy &policy,
                                              std::size_t failureDomains);
--- a/src/include/pomeloentry/workledger.h
+++ b/src/include/pomeloentry/workledger.h
@@ -146,7 +146,8 @@
     /// Prompts of all senders that wait for a slot of a service. Pointers are valid until the next change.
     std::vector<const WorkItem *> waiting(std::uint32_t service) const;
 
-    /// Changes to own work since the last call, for other instances.
+    /// Changes to own work that other instances have not been told of, as many as fit a datagram. Call it until
+    /// hasChanges() is false.
     WorkReport takeChanges(Instant now);
 
     /// Full report of own work for all receivers, in pieces that each fit a datagram. Changes so far need no further
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -364,18 +364,16 @@
 
 void PeerMesh::sendChanges()
 {
-    auto changes = m_core->placement.takeChanges(steadyNow());
-    if (!changes) {
-        return;
-    }
     std::vector<std::string> addresses;
     {
         const std::lock_guard lock(m_mutex);
         addresses = m_peers.workingAddresses(steadyNow());
     }
     auto outgoing = message();
-    outgoing.work = std::move(*changes);
-    send(outgoing, addresses);
+    while (auto changes = m_core->placement.takeChanges(steadyNow())) {
+        outgoing.work = std::move(*changes);
+        send(outgoing, addresses);
+    }
 }
 
 /// Sends all work to the peers that exchange it, and to the other contacts only that this instance is alive.
--- a/src/libpomeloentry/workledger.cpp
+++ b/src/libpomeloentry/workledger.cpp
@@ -12,8 +12,12 @@
 namespace
 {
 
-/// Maximum number of items in one report, so that it fits a datagram.
-constexpr std::size_t ItemsPerPiece = 16;
+/// Maximum size of the items and ended keys of one report, in bytes, so that it fits a datagram with its other fields.
+constexpr std::size_t PieceBytes = 900;
+/// Upper bounds of the encoded sizes of an item without its parts, of a part, and of the key of an ended item.
+constexpr std::size_t ItemBytes = 60;
+constexpr std::size_t PartBytes = 14;
+constexpr std::size_t EndedBytes = 10;
 constexpr double MillisecondsPerSecond = 1000;
 
 template<typename Number>
@@ -42,6 +46,11 @@
     return result;
 }
 
+std::size_t encodedBytes(const WorkItem &item)
+{
+    return ItemBytes + PartBytes * item.parts.size();
+}
+
 WorkItem itemOf(const WorkItemMessage &message, Instant now)
 {
     WorkItem item;
@@ -202,15 +211,24 @@
     report.epoch = m_epoch;
     std::ranges::sort(m_changed);
     m_changed.erase(std::unique(m_changed.begin(), m_changed.end()), m_changed.end());
-    for (const auto key : m_changed) {
-        const auto found = m_own.find(key);
-        if (found != m_own.end() && report.items.size() < ItemsPerPiece) {
-            report.items.push_back(messageFor(found->second, now));
+    std::size_t bytes = 0;
+    auto changed = m_changed.begin();
+    for (; changed != m_changed.end(); ++changed) {
+        const auto found = m_own.find(*changed);
+        if (found == m_own.end()) {
+            continue;
         }
+        if (!report.items.empty() && bytes + encodedBytes(found->second) > PieceBytes) {
+            break;
+        }
+        bytes += encodedBytes(found->second);
+        report.items.push_back(messageFor(found->second, now));
     }
-    report.ended = std::move(m_ended);
-    m_changed.clear();
-    m_ended.clear();
+    m_changed.erase(m_changed.begin(), changed);
+    const auto ended = std::min(m_ended.size(), (PieceBytes - std::min(bytes, PieceBytes)) / EndedBytes);
+    const auto endedEnd = m_ended.begin() + static_cast<std::ptrdiff_t>(ended);
+    report.ended.assign(m_ended.begin(), endedEnd);
+    m_ended.erase(m_ended.begin(), endedEnd);
     return report;
 }
 
@@ -235,10 +253,13 @@
 {
     ++m_epoch;
     std::vector<WorkReport> pieces(1);
+    std::size_t bytes = 0;
     for (const auto &[key, item] : m_own) {
-        if (pieces.back().items.size() == ItemsPerPiece) {
+        if (bytes + encodedBytes(item) > PieceBytes) {
             pieces.emplace_back();
+            bytes = 0;
         }
+        bytes += encodedBytes(item);
         pieces.back().items.push_back(messageFor(item, now));
     }
     for (auto &piece : pieces) {
--- a/src/libpomeloentry/workledger_test.cpp
+++ b/src/libpomeloentry/workledger_test.cpp
@@ -1,5 +1,10 @@
 #include "pomeloentry/workledger.h"
 
+#include "pomeloentry/peertable.h"
+
+#include "pomeloport/protocol/compactarchive.h"
+#include "pomeloport/transport/datagramsocket.h"
+
 #include <catch2/catch.hpp>
 
 using namespace pomeloentry;
@@ -79,6 +84,59 @@
     CHECK_FALSE(source.hasChanges());
 }
 
+// Prompts with sixteen helpers made reports larger than a datagram, which were not sent: other instances knew nothing
+// of the longest prompts of a busy instance.
+TEST_CASE("reports of prompts with many helpers fit into datagrams and name them all", "[workledger]")
+{
+    WorkLedger source;
+    constexpr std::uint64_t Count = 40;
+    const auto fits = [](const WorkReport &report) {
+        PeerMessage message;
+        message.description = PeerDescription{"10.100.100.100:65000", "a-long-domain-name", 500, 1, {}};
+        message.description->others.resize(4, {"10.100.100.100:65000", "a-long-domain-name", true});
+        message.work = report;
+        return pomeloport::detail::encodeCompact(message).size() <= pomeloport::MaximumDatagramPayload;
+    };
+    const auto addWork = [&source] {
+        for (std::uint64_t key = 1; key <= Count; ++key) {
+            auto work = item(key << 32U, 7, 1234.5F);
+            work.parts.resize(17, {4'000'000'000U, 1234.5F, 300'000});
+            source.open(work);
+        }
+    };
+    std::size_t named = 0;
+    addWork();
+    for (const auto &piece : source.fullReports(Start)) {
+        CHECK(fits(piece));
+        named += piece.items.size();
+    }
+    CHECK(named == Count);
+    named = 0;
+    addWork();
+    while (source.hasChanges()) {
+        const auto changes = source.takeChanges(Start);
+        CHECK(fits(changes));
+        REQUIRE_FALSE(changes.items.empty());
+        named += changes.items.size();
+    }
+    CHECK(named == Count);
+    std::size_t ended = 0;
+    for (std::uint64_t key = 1; key <= Count; ++key) {
+        source.close(key << 32U);
+    }
+    for (std::uint64_t key = 1; key <= 400; ++key) {
+        source.open(item(key, 7));
+        source.close(key);
+    }
+    while (source.hasChanges()) {
+        const auto changes = source.takeChanges(Start);
+        CHECK(fits(changes));
+        REQUIRE_FALSE(changes.ended.empty());
+        ended += changes.ended.size();
+    }
+    CHECK(ended == Count + 400);
+}
+
 TEST_CASE("an instance that reports no work any more is not missed", "[workledger]")
 {
     WorkLedger source;
