Log why a call waits and until when

Change: event=waiting with the cause, the candidates, the price and the time until which the call may go on waiting, whenever the cause changes, at most six lines for one call.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -53,6 +53,8 @@
     double price = 0;
     /// Number of prompts ahead of this one in the queue for slots.
     std::size_t queuePosition = 0;
+    /// Time until which a call that waits may go on waiting.
+    Instant waitLimit{};
     const char *reason = "";
 };
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -253,6 +253,7 @@
         }
         trace.reason = "its prefill would delay prompts that are worth more";
         if (mayDefer(work, cost, now)) {
+            trace.waitLimit = latestStart(work, cost);
             return WaitUntil{std::min(now + m_policy.deferralRecheckInterval, latestStart(work, cost))};
         }
     }
@@ -394,6 +395,7 @@
     const auto span = work.deadline - work.arrival;
     const auto latest = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.maximumWaitShare);
     if (now + m_policy.recheckInterval < latest) {
+        trace.waitLimit = latest;
         return WaitUntil{now + m_policy.recheckInterval};
     }
     trace.reason = *trace.reason ? trace.reason : "no backend server is usable";
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -37,6 +37,8 @@
 constexpr Duration MaximumStallTimeout = std::chrono::milliseconds(3000);
 /// Part of a call's remaining time that is reserved for answering the caller.
 constexpr std::chrono::milliseconds FailureReplyMargin{5};
+/// Causes of waiting that are logged for one call, which may change with every check of a deferred prompt.
+constexpr std::uint32_t MaximumLoggedWaits = 6;
 
 bool isSuccess(unsigned status)
 {
@@ -164,10 +166,33 @@
                   {"damage", trace.costToOthers},
                   {"before", trace.queuePosition},
                   {"waited_ms", (now - m_call.work.arrival).count() / 1000}});
+    } else if (std::holds_alternative<WaitUntil>(decision)) {
+        logWait(trace, now);
     }
     return decision;
 }
 
+/// Logs why the call waits whenever the cause changes, a limited number of times.
+void EntrySession::logWait(const PlacementTrace &trace, Instant now)
+{
+    const std::string_view cause = trace.reason;
+    if (std::exchange(m_waitCause, cause) == cause || m_loggedWaits == MaximumLoggedWaits) {
+        return;
+    }
+    ++m_loggedWaits;
+    logEvent(LogLevel::Info,
+             "waiting",
+             {{"id", m_call.request.attemptId},
+              {"cause", cause},
+              {"candidates", trace.candidates},
+              {"excluded", trace.excluded},
+              {"before", trace.queuePosition},
+              {"price", trace.price},
+              {"wait_limit_ms", (trace.waitLimit - now).count() / 1000},
+              {"waited_ms", (now - m_call.work.arrival).count() / 1000},
+              {"leaving", m_core->leaving.load()}});
+}
+
 void EntrySession::execute(action::OpenAttempt &action)
 {
     const auto &backendId = action.route.members.front().backend;
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pomeloentry
 {
@@ -101,6 +102,7 @@
     void sendFailure(const pomeloport::Failure &failure);
     std::chrono::milliseconds timeLeft() const;
     void releaseGroup();
+    void logWait(const PlacementTrace &trace, Instant now);
     void logOutcome(std::string_view outcome, const std::string &detail);
 
     std::shared_ptr<EntryCore> m_core;
@@ -123,6 +125,9 @@
     std::shared_ptr<GroupReservation> m_groupReservation;
     /// Other backend servers, such as helpers, that were reported as the cause of a refusal.
     std::vector<std::string> m_faultyBackends;
+    /// Cause of the latest wait that was logged; a constant of the placement.
+    std::string_view m_waitCause;
+    std::uint32_t m_loggedWaits = 0;
     std::size_t m_unwrittenBytes = 0;
     std::uint64_t m_deliveredEvents = 0;
     std::uint32_t m_attemptCount = 0;
