Answer every open call at a planned stop, and defer no prompt beyond it

Cause: the end of the process was known to the stop alone. Waiting, deferral, reservation of memory and admission took the caller's deadline for the time by which a call must end; and a stop ended the event loop with calls still open.

Change: StopPlan holds the phases of a stop. At its begin every open call learns its end: a prompt that would be deferred or waits for memory is refused at once as not run, with a Retry-After of 100 ms, so that another instance can still serve it; a call in a queue is refused once it could not be complete in time. A stopping instance admits what it can complete, instead of everything until 2.5 s before the end. At the end every call that is still open gets a final answer with a true verdict, and 250 ms are kept to write them.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,7 +32,9 @@
     std::string service;
     CallKind kind = CallKind::NonIdempotent;
     std::uint64_t promptTokens = 0;
+    /// Expected tokens of the answer, and the limit on them.
     std::uint64_t answerTokens = 0;
+    std::uint64_t maximumAnswerTokens = 0;
     Duration eventGap{};
     Duration target{};
     Instant arrival{};
@@ -40,8 +43,13 @@
     Instant abandonedAt{};
     /// Whether an attempt that gets no answer may be retried.
     bool repeatable = false;
+    /// When the instance gives up all calls because it stops; nothing unless it is stopping.
+    std::optional<Instant> stopsAt;
 };
 
+/// Retry-After of calls that a stopping instance refuses: short, since another instance can take them.
+constexpr std::chrono::milliseconds RetryElsewhereDelay{100};
+
 /// Inputs and results of one placement decision, for the log.
 struct PlacementTrace
 {
@@ -141,6 +149,9 @@
                 pomeloport::action::CloseAttempt::Outcome outcome,
                 Instant now);
 
+    /// Whether a call that has not been offered to a backend server yet can be complete before its instance stops.
+    bool canFinish(const CallWork &work, Instant now) const;
+
     /// Removes a call from the queue for slots because it has been placed or has ended.
     void removeFromQueue(const CallWork &work);
 
@@ -224,6 +235,8 @@
                                                            PlacementTrace &trace) const;
     Instant latestStart(const CallWork &work, const EngineCost &cost) const;
     bool mayDefer(const CallWork &work, const EngineCost &cost, Instant now) const;
+    double deferredPrefillMs(const CallWork &work, const EngineCost &cost) const;
+    bool finishesBeforeStop(const CallWork &work, Instant now) const;
     EngineDemand demand(Instant now) const;
     PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -135,6 +135,16 @@
 {
 };
 
+/// The process ends before the request can: it fails with this reason unless it has ended.
+struct Abandoned
+{
+    ReasonCode reason = ReasonCode::Stopping;
+    /// Literal that explains the reason.
+    const char *detail = "";
+    /// Delay after which a resend may succeed, if the request has not run.
+    std::optional<std::chrono::milliseconds> retryAfter;
+};
+
 /// The time set by the last ArmTimer has been reached.
 struct TimerFired
 {
@@ -161,6 +171,7 @@
                                event::ClaimReleased,
                                event::OutcomeRecorded,
                                event::CallerCancelled,
+                               event::Abandoned,
                                event::TimerFired,
                                event::CapacityFreed>;
 
--- a/src/libpomeloentry/admission.cpp
+++ b/src/libpomeloentry/admission.cpp
@@ -17,8 +17,6 @@
 constexpr unsigned StatusUnauthorised = 401;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
-/// Short, because another instance can take a caller that this one refuses as unconfigured or shutting down.
-constexpr std::chrono::milliseconds RetryElsewhereDelay{100};
 /// Expected length of an answer, as a share of its maximum, when the caller gives no estimate.
 constexpr double DefaultAnswerShare = 0.5;
 /// Backend servers know priorities from 0 to 9.
@@ -56,10 +54,6 @@
         return Refusal{
             StatusUnavailable, ReasonCode::NotAdmitting, "no configuration is loaded", id, RetryElsewhereDelay};
     }
-    if (core.rejectingCalls) {
-        return Refusal{
-            StatusUnavailable, ReasonCode::Stopping, "the instance is shutting down", id, RetryElsewhereDelay};
-    }
     const auto &routing = *call.fleet->routing;
     call.route = routing.match(call.request.host, call.request.path);
     if (!call.route) {
@@ -83,6 +77,7 @@
     const auto defaultTokens = static_cast<double>(call.request.maximumAnswerTokens) * DefaultAnswerShare;
     work.answerTokens = std::min(call.request.expectedAnswerTokens.value_or(static_cast<std::uint64_t>(defaultTokens)),
                                  call.request.maximumAnswerTokens);
+    work.maximumAnswerTokens = call.request.maximumAnswerTokens;
     work.eventGap = call.route->eventGap;
     work.target = call.route->target;
     work.arrival = now;
@@ -92,7 +87,15 @@
     }
     work.deadline = now + time;
     work.abandonedAt = std::min(work.deadline, now + abandonmentDelay(*call.route));
+    work.stopsAt = core.stopsAt();
     work.repeatable = work.kind == CallKind::Idempotent || (work.kind == CallKind::Streaming && call.route->resumable);
+    if (!core.placement.canFinish(work, now)) {
+        return Refusal{StatusUnavailable,
+                       ReasonCode::Stopping,
+                       "the instance stops before the answer can be complete",
+                       id,
+                       RetryElsewhereDelay};
+    }
     return call;
 }
 
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -7,6 +7,7 @@
 #include "fleetwatch.h"
 #include "peermesh.h"
 
+#include "pomeloentry/stopplan.h"
 #include "pomeloentry/wire.h"
 
 #include "pomeloport/lastreason.h"
@@ -17,6 +18,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace pomeloentry
 {
@@ -30,12 +32,6 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
 
-/// Callers may use a discovery answer for three times its lifetime; after that, no new caller arrives.
-constexpr int AddressLifetimesInUse = 3;
-/// New calls are rejected for this long before the shutdown ends, so that calls in flight can finish.
-constexpr std::chrono::milliseconds RejectionPeriod{2500};
-/// Reserve between the end of the shutdown and the moment at which the platform kills the process.
-constexpr std::chrono::milliseconds ExitMargin{400};
 constexpr std::chrono::milliseconds ShutdownCheckInterval{50};
 /// Connections stay open longer than the idle timeout that callers know, so that none is closed just as the next
 /// request arrives on it.
@@ -197,22 +193,31 @@
     void shutDown(std::function<void()> callback)
     {
         onShutDown = std::move(callback);
-        core->leaving = true;
-        shutdownStart = std::chrono::steady_clock::now();
+        const auto &settings = core->settings;
+        stop.emplace(steadyNow(), settings.stopGracePeriod, settings.addressLifetime);
+        core->leave(stop->end());
         mesh->announce();
         callers->closeAfterReply();
+        for (const auto &session : core->sessions.all()) {
+            session->instanceStops(stop->end());
+        }
         checkShutdown();
     }
 
     void checkShutdown()
     {
-        const auto now = std::chrono::steady_clock::now();
-        const auto &settings = core->settings;
-        const auto end = shutdownStart + settings.stopGracePeriod - ExitMargin;
-        const auto invitedUntil = shutdownStart + settings.addressLifetime * AddressLifetimesInUse;
-        core->rejectingCalls = now >= std::max(invitedUntil, end - RejectionPeriod);
-        const bool allServed = core->openCalls == 0 && callers->busyConnections() == 0;
-        if (now >= end || (now >= invitedUntil && allServed)) {
+        const auto open = core->openCalls + callers->busyConnections();
+        const auto step = stop->step(steadyNow(), open);
+        if (step == StopStep::GiveUp) {
+            const auto sessions = core->sessions.all();
+            if (!sessions.empty()) {
+                logEvent(LogLevel::Warning, "giving_up", {{"open_calls", sessions.size()}});
+            }
+            for (const auto &session : sessions) {
+                session->giveUp();
+            }
+        }
+        if (step == StopStep::Exit) {
             logEvent(LogLevel::Info, "left", {{"open_calls", core->openCalls.load()}});
             callers->stopAccepting();
             watch->stop();
@@ -240,7 +245,7 @@
     std::shared_ptr<HttpServer> peers;
     std::shared_ptr<HttpServer> metrics;
     std::chrono::milliseconds longestIdleTimeout{0};
-    std::chrono::steady_clock::time_point shutdownStart;
+    std::optional<StopPlan> stop;
     std::function<void()> onShutDown;
 };
 
--- a/src/libpomeloentry/entrycore.h
+++ b/src/libpomeloentry/entrycore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "sessionregistry.h"
+
 #include "pomeloentry/entryplacement.h"
 #include "pomeloentry/entrysettings.h"
 #include "pomeloentry/routing.h"
@@ -15,6 +17,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 /// State shared by the parts of an entry process. Thread safe.
@@ -55,8 +58,24 @@
     std::atomic<std::uint64_t> openCalls{0};
     /// Set once the shutdown has begun; discovery then no longer names this instance.
     std::atomic<bool> leaving{false};
-    /// Set in the last part of the shutdown, in which new calls are rejected.
-    std::atomic<bool> rejectingCalls{false};
+    SessionRegistry sessions;
+
+    /// When open calls are given up because the instance stops; nothing unless it is stopping.
+    std::optional<Instant> stopsAt() const
+    {
+        const auto count = m_stopsAt.load();
+        return count == 0 ? std::nullopt : std::optional(Instant(Duration(count)));
+    }
+
+    /// Begins the shutdown.
+    void leave(Instant end)
+    {
+        m_stopsAt = end.time_since_epoch().count();
+        leaving = true;
+    }
+
+private:
+    std::atomic<Duration::rep> m_stopsAt{0};
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -37,6 +37,10 @@
 /// Attempt number of a call that waits for a slot.
 constexpr std::uint32_t WaitingAttempt = 0;
 constexpr double MsPerSecond = 1000;
+/// A call is only begun on a stopping instance if this multiple of its expected duration is left.
+constexpr double StopSafety = 2;
+/// Expected duration of a call without a prompt, as a multiple of its target time.
+constexpr double PlainDurationTargets = 2;
 /// Odd multiplier of a multiplicative hash, which permutes keys pseudo-randomly.
 constexpr std::uint64_t OrderFactor = 0x9E3779B97F4A7C15;
 
@@ -52,6 +56,11 @@
     return static_cast<double>(work.sequence * OrderFactor) / Range;
 }
 
+Failure stopRefusal(const char *detail)
+{
+    return {Verdict::NotRun, ReasonCode::Stopping, detail, RetryElsewhereDelay};
+}
+
 bool contains(const std::vector<std::string> &list, const std::string &text)
 {
     return std::ranges::find(list, text) != list.end();
@@ -252,6 +261,10 @@
             return std::nullopt;
         }
         trace.reason = "its prefill would delay prompts that are worth more";
+        if (work.stopsAt) {
+            // Another instance can defer it for longer, and serve it sooner once there is room.
+            return stopRefusal("this instance stops and defers no prompts");
+        }
         if (mayDefer(work, cost, now)) {
             trace.waitLimit = latestStart(work, cost);
             return WaitUntil{std::min(now + m_policy.deferralRecheckInterval, latestStart(work, cost))};
@@ -276,23 +289,57 @@
     return now < latestStart(work, cost) && (guaranteeDraw(work) < m_policy.guaranteedShare || now < refusalTime);
 }
 
+/// Time to decode an answer together with as many other streams as the engine has slots, in milliseconds.
+double decodeTimeMs(const EngineCost &cost, std::uint64_t answerTokens)
+{
+    const double events = static_cast<double>(answerTokens) / std::max(cost.stepsPerPass, 1.0);
+    return events * passMs(cost, static_cast<double>(cost.slots), 0);
+}
+
 Instant lastFirstEvent(const CallWork &work, const EngineCost &cost)
 {
-    const double events = static_cast<double>(work.answerTokens) / std::max(cost.stepsPerPass, 1.0);
-    const double decodeMs = events * passMs(cost, static_cast<double>(cost.slots), 0);
+    const double decodeMs = decodeTimeMs(cost, work.answerTokens);
     return std::min(work.abandonedAt, work.deadline - pomeloport::fromSeconds(decodeMs / MsPerSecond));
 }
 
 /// Latest start at which a deferred prompt can still be answered in time, if a share of the engines prefills it.
 Instant EntryPlacement::latestStart(const CallWork &work, const EngineCost &cost) const
+{
+    const double prefillMs = deferredPrefillMs(work, cost);
+    return lastFirstEvent(work, cost) - pomeloport::fromSeconds(prefillMs / MsPerSecond) - m_policy.deferralMargin;
+}
+
+/// Prefill time of a prompt, in milliseconds, if a share of the engines prefills it.
+double EntryPlacement::deferredPrefillMs(const CallWork &work, const EngineCost &cost) const
 {
     const auto found = m_services.find(work.service);
     const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
     const double prefillEngines = std::clamp(static_cast<double>(engines) * m_policy.deferredPrefillShare,
                                              1.0,
                                              static_cast<double>(m_policy.engines.maximumHelpers));
-    const double prefillMs = prefillTimeMs(cost, static_cast<double>(work.promptTokens)) / prefillEngines;
-    return lastFirstEvent(work, cost) - pomeloport::fromSeconds(prefillMs / MsPerSecond) - m_policy.deferralMargin;
+    return prefillTimeMs(cost, static_cast<double>(work.promptTokens)) / prefillEngines;
+}
+
+bool EntryPlacement::canFinish(const CallWork &work, Instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return finishesBeforeStop(work, now);
+}
+
+/// The same with the mutex held. A call whose deadline comes before the stop always ends in time.
+bool EntryPlacement::finishesBeforeStop(const CallWork &work, Instant now) const
+{
+    if (!work.stopsAt || work.deadline <= *work.stopsAt) {
+        return true;
+    }
+    const auto *engine = engineOf(work.service);
+    if (!engine || work.promptTokens == 0) {
+        const double seconds = pomeloport::seconds(work.target) * PlainDurationTargets * StopSafety;
+        return now + pomeloport::fromSeconds(seconds) <= *work.stopsAt;
+    }
+    const double prefillMs = deferredPrefillMs(work, *engine);
+    const double decodeMs = decodeTimeMs(*engine, std::max(work.answerTokens, work.maximumAnswerTokens));
+    return now + pomeloport::fromSeconds((prefillMs + decodeMs) * StopSafety / MsPerSecond) <= *work.stopsAt;
 }
 
 EngineDemand EntryPlacement::demand(Instant now) const
@@ -392,6 +439,9 @@
 
 RouteDecision EntryPlacement::waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace) const
 {
+    if (!finishesBeforeStop(work, now)) {
+        return stopRefusal("this instance stops before a place becomes free");
+    }
     const auto span = work.deadline - work.arrival;
     const auto latest = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.maximumWaitShare);
     if (now + m_policy.recheckInterval < latest) {
--- a/src/libpomeloentry/entryplacement_test.cpp
+++ b/src/libpomeloentry/entryplacement_test.cpp
@@ -76,6 +76,26 @@
     return work;
 }
 
+/// Opens streams at a fleet of one engine that a long prefill would delay, and that are worth more than a long prompt.
+void addLatencySensitiveStreams(EntryPlacement &placement)
+{
+    placement.update(fleet(1, true));
+    for (std::uint64_t i = 1; i <= 2; ++i) {
+        auto stream = prompt(i, 28'000);
+        stream.eventGap = 60ms;
+        placement.opened(stream, 1, Route{{{"i0", 0, 0}}}, {}, Start);
+        placement.answered(stream, 1, "i0", Start);
+    }
+}
+
+CallWork longPrompt()
+{
+    auto work = prompt(9, 35'000);
+    work.target = 3s;
+    work.abandonedAt = work.deadline;
+    return work;
+}
+
 class PlacementFixture
 {
 public:
@@ -328,17 +348,8 @@
     policy.guaranteedShare = 0;
     policy.engines.deferralMinimumPrefillMs = 100;
     EntryPlacement placement(policy);
-    placement.update(fleet(1, true));
-    // Latency-sensitive streams that a long prefill would delay, and that are worth more than the long prompt.
-    for (std::uint64_t i = 1; i <= 2; ++i) {
-        auto stream = prompt(i, 28'000);
-        stream.eventGap = 60ms;
-        placement.opened(stream, 1, Route{{{"i0", 0, 0}}}, {}, Start);
-        placement.answered(stream, 1, "i0", Start);
-    }
-    auto work = prompt(9, 35'000);
-    work.target = 3s;
-    work.abandonedAt = work.deadline;
+    addLatencySensitiveStreams(placement);
+    const auto work = longPrompt();
     PlacementTrace trace;
     const auto latest = Start + pomeloport::fromSeconds(10 * policy.maximumWaitShare) + policy.recheckInterval;
     std::optional<Instant> refusedAt;
@@ -354,3 +365,59 @@
     REQUIRE(refusedAt);
     CHECK(*refusedAt <= latest);
 }
+
+// Guards against requests without an answer after a planned stop: a prompt was deferred to a time after the end of its
+// instance.
+TEST_CASE("a prompt is not deferred by an instance that stops", "[entryplacement]")
+{
+    EntryPolicy policy;
+    policy.guaranteedShare = 1;
+    policy.engines.deferralMinimumPrefillMs = 100;
+    EntryPlacement placement(policy);
+    addLatencySensitiveStreams(placement);
+    auto work = longPrompt();
+    PlacementTrace trace;
+    REQUIRE(std::holds_alternative<WaitUntil>(placement.choose(work, RouteQuery{nullptr, 1, {}}, Start, trace)));
+    work.stopsAt = Start + 7600ms;
+    const auto decision = placement.choose(work, RouteQuery{nullptr, 1, {}}, Start + 100ms, trace);
+    const auto *failure = std::get_if<Failure>(&decision);
+    REQUIRE(failure);
+    CHECK(failure->verdict == Verdict::NotRun);
+    CHECK(failure->reason == pomeloport::ReasonCode::Stopping);
+    // Another instance serves it within its target.
+    CHECK(failure->retryAfter < work.target / 4);
+}
+
+// Guards against requests without an answer after a planned stop: a call may wait for a place for a share of its time,
+// which can be longer than its instance exists.
+TEST_CASE("a call that waits on a stopping instance is refused while it can still be served elsewhere",
+          "[entryplacement]")
+{
+    PlacementFixture fixture(0);
+    auto work = plainCall();
+    work.deadline = Start + 60s;
+    work.stopsAt = Start + 7600ms;
+    CHECK(std::holds_alternative<WaitUntil>(fixture.choose(work, {}, Start)));
+    const auto late = *work.stopsAt - work.target;
+    const auto decision = fixture.choose(work, {}, late);
+    const auto *failure = std::get_if<Failure>(&decision);
+    REQUIRE(failure);
+    CHECK(failure->verdict == Verdict::NotRun);
+    CHECK(failure->reason == pomeloport::ReasonCode::Stopping);
+}
+
+// Guards against streams that are cut at the end of a planned stop: calls were admitted until 2.5 s before it, whatever
+// they needed.
+TEST_CASE("a stopping instance admits only calls that it can complete", "[entryplacement]")
+{
+    PlacementFixture fixture(1, true);
+    auto work = prompt(1, 1000);
+    CHECK(fixture.placement.canFinish(work, Start));
+    work.stopsAt = Start + 7600ms;
+    work.maximumAnswerTokens = 2000;
+    CHECK(fixture.placement.canFinish(work, Start));
+    // Fifty events, one for each pass of 40 ms.
+    CHECK_FALSE(fixture.placement.canFinish(work, *work.stopsAt - 2s));
+    work.deadline = *work.stopsAt;
+    CHECK(fixture.placement.canFinish(work, *work.stopsAt - 2s));
+}
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -2,7 +2,7 @@
 
 #include "pomeloport/logging.h"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/dispatch.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -111,16 +111,46 @@
     }
     releaseGroup();
     m_core->placement.removeFromQueue(m_call.work);
+    m_core->sessions.remove(m_call.work.sequence);
     --m_core->openCalls;
 }
 
 void EntrySession::start()
 {
+    m_core->sessions.add(m_call.work.sequence, weak_from_this());
+    // The stop may have begun since the call was admitted.
+    m_call.work.stopsAt = m_core->stopsAt();
     // The callback keeps the session alive until the Close action replaces it.
     m_exchange->onClosed([self = shared_from_this()] { self->feed(event::CallerCancelled{}); });
     feed(event::Begin{});
 }
 
+void EntrySession::instanceStops(Instant end)
+{
+    boost::asio::dispatch(m_executor, [self = shared_from_this(), end] {
+        if (self->m_finished) {
+            return;
+        }
+        self->m_call.work.stopsAt = end;
+        const bool reserving = self->m_groupReservation && (self->m_attempt.number == 0 || self->m_attempt.closed);
+        if (reserving) {
+            self->feed(event::Abandoned{
+                ReasonCode::Stopping, "this instance stops and reserves no memory", RetryElsewhereDelay});
+        } else {
+            self->feed(event::CapacityFreed{});
+        }
+    });
+}
+
+void EntrySession::giveUp()
+{
+    boost::asio::dispatch(m_executor, [self = shared_from_this()] {
+        if (!self->m_finished) {
+            self->feed(event::Abandoned{ReasonCode::Stopping, "this instance has stopped", RetryElsewhereDelay});
+        }
+    });
+}
+
 void EntrySession::feed(FlowEvent event)
 {
     m_pendingEvents.push_back(std::move(event));
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -47,6 +47,13 @@
     /// Begins to relay the call. Must be called once, on the executor.
     void start();
 
+    /// Tells the call that its instance stops and gives up open calls at a time. A call that waits for something other
+    /// than a free slot is refused, since other instances can serve it. May be called on any thread.
+    void instanceStops(Instant end);
+
+    /// Ends the call with its final answer, unless it has ended. May be called on any thread.
+    void giveUp();
+
 private:
     void feed(pomeloport::FlowEvent event);
     void handle(const pomeloport::FlowEvent &event);
--- a/src/libpomeloentry/groupreservation.cpp
+++ b/src/libpomeloentry/groupreservation.cpp
@@ -114,6 +114,12 @@
 {
     const auto now = steadyNow();
     const auto &work = m_request.work;
+    if (!m_core->placement.canFinish(work, now)) {
+        const Failure failure{
+            Verdict::NotRun, ReasonCode::Stopping, "this instance stops before memory is free", RetryElsewhereDelay};
+        std::exchange(m_completion, nullptr)(failure);
+        return;
+    }
     const auto maximumWaitSeconds = seconds(work.deadline - work.arrival) * m_core->settings.policy.maximumWaitShare;
     if (now + PlanInterval > work.arrival + fromSeconds(maximumWaitSeconds)) {
         const Failure failure{
--- /dev/null
+++ b/src/libpomeloentry/stopplan.cpp
@@ -0,0 +1,39 @@
+#include "pomeloentry/stopplan.h"
+
+#include <algorithm>
+
+namespace pomeloentry
+{
+
+namespace
+{
+
+/// Callers may use a discovery answer for three times its lifetime; after that, no new caller arrives.
+constexpr int AddressLifetimesInUse = 3;
+/// Reserve between the end of the stop and the moment at which the platform kills the process.
+constexpr Duration ExitMargin = std::chrono::milliseconds(400);
+/// Part of that reserve in which the final answers are written.
+constexpr Duration FinalAnswerTime = std::chrono::milliseconds(250);
+
+} // namespace
+
+StopPlan::StopPlan(Instant begin, Duration gracePeriod, Duration addressLifetime)
+    : m_end(begin + std::max(gracePeriod - ExitMargin, Duration::zero()))
+    , m_idleExitAt(std::min(begin + addressLifetime * AddressLifetimesInUse, m_end))
+{
+}
+
+Instant StopPlan::end() const
+{
+    return m_end;
+}
+
+StopStep StopPlan::step(Instant now, std::uint64_t open) const
+{
+    if ((open == 0 && now >= m_idleExitAt) || now >= m_end + FinalAnswerTime) {
+        return StopStep::Exit;
+    }
+    return now >= m_end ? StopStep::GiveUp : StopStep::Serve;
+}
+
+} // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/stopplan_test.cpp
@@ -0,0 +1,40 @@
+#include "pomeloentry/stopplan.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto Start = Instant(1h);
+
+} // namespace
+
+TEST_CASE("calls that are open at the end of a stop are given up before the process is killed", "[stopplan]")
+{
+    const StopPlan plan(Start, 8s, 1s);
+    CHECK(plan.step(Start, 1) == StopStep::Serve);
+    CHECK(plan.step(plan.end() - 1ms, 1) == StopStep::Serve);
+    CHECK(plan.step(plan.end(), 1) == StopStep::GiveUp);
+    CHECK(plan.step(plan.end() + 100ms, 0) == StopStep::Exit);
+    CHECK(plan.step(plan.end() + 300ms, 1) == StopStep::Exit);
+    CHECK(plan.end() + 300ms < Start + 8s);
+}
+
+TEST_CASE("an idle instance stays until callers no longer know its address", "[stopplan]")
+{
+    const StopPlan plan(Start, 8s, 1s);
+    CHECK(plan.step(Start + 2900ms, 0) == StopStep::Serve);
+    CHECK(plan.step(Start + 3s, 0) == StopStep::Exit);
+    CHECK(plan.step(Start + 3s, 1) == StopStep::Serve);
+}
+
+TEST_CASE("a grace period shorter than the margins ends at once", "[stopplan]")
+{
+    const StopPlan plan(Start, 200ms, 1s);
+    CHECK(plan.end() == Start);
+    CHECK(plan.step(Start, 0) == StopStep::Exit);
+    CHECK(plan.step(Start, 1) == StopStep::GiveUp);
+}
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -259,9 +259,9 @@
     m_phase = FlowPhase::Closed;
 }
 
-void FlowContext::giveUp(ReasonCode reason, std::string detail)
+void FlowContext::giveUp(ReasonCode reason, std::string detail, std::optional<std::chrono::milliseconds> retryAfter)
 {
-    fail({Verdict::NotRun, reason, std::move(detail), std::nullopt});
+    fail({Verdict::NotRun, reason, std::move(detail), retryAfter});
 }
 
 void FlowContext::abandon(ReasonCode reason, std::string detail)
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -70,8 +70,8 @@
     void cancelSettled(bool neverRan);
     void claimReleased(bool held);
     void outcomeRecorded();
-    /// Fails the request with this reason.
-    void giveUp(ReasonCode reason, std::string detail);
+    /// Fails the request with this reason, and the delay after which a resend may succeed if it has not run.
+    void giveUp(ReasonCode reason, std::string detail, std::optional<std::chrono::milliseconds> retryAfter = {});
     /// Fails the request with this reason once the pending cancel has completed.
     void abandon(ReasonCode reason, std::string detail);
     /// Reports the failure to the caller at the deadline, although cancelling or releasing is still in progress.
--- a/src/libpomeloport/coordination/relayflow_test.cpp
+++ b/src/libpomeloport/coordination/relayflow_test.cpp
@@ -161,3 +161,27 @@
     CHECK(failure->failure.reason == ReasonCode::DeadlinePassed);
     CHECK(failure->failure.verdict == Verdict::MayHaveRun);
 }
+
+// Guards against closing a caller's connection without an answer when the process ends before the request.
+TEST_CASE("a request that its process abandons gets a failure with a true verdict", "[relayflow]")
+{
+    const event::Abandoned abandoned{ReasonCode::Stopping, "stopping", 100ms};
+    RelayedFlow unsent(relayedSpec(true));
+    unsent.send(event::Begin{});
+    unsent.send(abandoned, 1s);
+    const auto *notRun = unsent.find<action::DeliverFailure>();
+    REQUIRE(notRun);
+    CHECK(notRun->failure.verdict == Verdict::NotRun);
+    CHECK(notRun->failure.reason == ReasonCode::Stopping);
+    CHECK(notRun->failure.retryAfter == 100ms);
+
+    RelayedFlow sent(relayedSpec(true));
+    sent.send(event::Begin{});
+    sent.send(event::AttemptSending{1});
+    sent.send(abandoned, 1s);
+    REQUIRE(sent.find<action::CancelAttempt>());
+    sent.send(event::CancelSettled{1, false, false}, 1s);
+    const auto *uncertain = sent.find<action::DeliverFailure>();
+    REQUIRE(uncertain);
+    CHECK(uncertain->failure.verdict == Verdict::MayHaveRun);
+}
--- a/src/libpomeloport/coordination/requestflow.cpp
+++ b/src/libpomeloport/coordination/requestflow.cpp
@@ -19,6 +19,7 @@
 {
     ReasonCode reason = ReasonCode::Internal;
     const char *detail = "";
+    std::optional<std::chrono::milliseconds> retryAfter;
 };
 
 struct WakeUp
@@ -145,7 +146,7 @@
     }
     void giveUp(const raised::GiveUp &event)
     {
-        m_context->giveUp(event.reason, event.detail);
+        m_context->giveUp(event.reason, event.detail, event.retryAfter);
     }
     void abandon(const raised::GiveUp &event)
     {
@@ -269,7 +270,7 @@
     void processDueTimers()
     {
         if (context.deadlineDue() || context.claimReleaseDue()) {
-            process(raised::GiveUp{ReasonCode::DeadlinePassed, "the deadline passed"});
+            process(raised::GiveUp{ReasonCode::DeadlinePassed, "the deadline passed", std::nullopt});
         }
         if (context.deadlineDue()) {
             process(raised::DeadlinePassed{});
@@ -290,7 +291,11 @@
     }
     void dispatch(const event::CallerCancelled & /*event*/)
     {
-        process(raised::GiveUp{ReasonCode::Cancelled, "the caller cancelled"});
+        process(raised::GiveUp{ReasonCode::Cancelled, "the caller cancelled", std::nullopt});
+    }
+    void dispatch(const event::Abandoned &event)
+    {
+        process(raised::GiveUp{event.reason, event.detail, event.retryAfter});
     }
     void dispatch(const event::SegmentReady &event)
     {
