Check in the soak that calls open at a planned exit are answered

It excused every request that ended at the exit of an instance, and no call lasted longer than a stop.

Change: a planned restart excuses only requests sent from 0.2 s before the exit on, not those that are open at it. Four more callers send calls that outlast a stop: some run without a first byte, some wait for a server that does not exist. A test of the checks shows both sides.

--- a/testsuite/soak/checks_test.py
+++ b/testsuite/soak/checks_test.py
@@ -10,7 +10,7 @@
 def process(runs=()):
     """A process without faults whose log records an execution for each (time, attempt id) in runs."""
     lines = [(at, f"run {attempt} /x\n") for at, attempt in runs]
-    return SimpleNamespace(lines=lines, undisturbed=lambda begin, end: True)
+    return SimpleNamespace(lines=lines, undisturbed=lambda begin, end: True, expected_to_serve=lambda at: at < 200.0)
 
 
 def world(runs=()):
@@ -60,6 +60,10 @@
         rejection.headers = {}
         self.assert_reported("lacks Retry-After", rejection)
 
+    def test_a_planned_restart_excuses_only_requests_sent_at_the_exit(self):
+        self.assert_reported("before a response", answer("/absent/x", status=0, end="cut", sent=195.0, took=5.0))
+        self.assertEqual(self.failures(answer("/absent/x", status=0, end="cut", sent=200.0, took=0.1)), [])
+
     def test_reports_stale_configuration(self):
         self.assert_reported("revoked key did not get 401", answer(key="old"))
         self.assert_reported("added route is not in force", answer("/new/x", status=404, body=b""))
--- a/testsuite/soak/clients.py
+++ b/testsuite/soak/clients.py
@@ -4,13 +4,15 @@
 import json
 from dataclasses import dataclass, field
 
-from world import NET, exchange, now
+from world import LONG_TIMEOUT_S, NET, exchange, now
 
 # Time after which a caller gives up; also sent as the deadline of the request.
 CALLER_TIMEOUT_S = 4.0
 # Paths to choose from; repetition sets the weight. The first segment selects the kind of route and, for cut and lost,
 # the fault of the backend stand-in.
 PATHS = ["/plain/x"] * 4 + ["/once/x"] * 2 + ["/stream/x"] * 3 + ["/cut/x", "/lost/x"]
+# Paths of calls that outlast a graceful stop: they run without a first byte, or wait for a server that does not exist.
+LONG_PATHS = ["/hang/x", "/absent/x"]
 
 
 @dataclass
@@ -28,6 +30,7 @@
     end: str = "none"
     headers: dict = field(default_factory=dict)
     body: bytes = b""
+    timeout_s: float = CALLER_TIMEOUT_S
 
 
 class Connection:
@@ -50,12 +53,12 @@
         payload = attempt.id.encode()
         head = (
             f"POST {attempt.path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt.id}\r\n"
-            f"Authorization: Bearer {attempt.key}\r\nDeadline-Ms: {int(CALLER_TIMEOUT_S * 1000)}\r\n"
+            f"Authorization: Bearer {attempt.key}\r\nDeadline-Ms: {int(attempt.timeout_s * 1000)}\r\n"
             f"Content-Length: {len(payload)}\r\n\r\n"
         )
         try:
             self.writer.write(head.encode() + payload)
-            await asyncio.wait_for(self._answer(attempt), CALLER_TIMEOUT_S)
+            await asyncio.wait_for(self._answer(attempt), attempt.timeout_s)
         except (asyncio.IncompleteReadError, OSError):
             attempt.end = "cut"
         except asyncio.TimeoutError:
@@ -80,8 +83,9 @@
 class Client:
     """Sends requests one at a time over persistent connections to the addresses that the directory returns."""
 
-    def __init__(self, world, random, name):
+    def __init__(self, world, random, name, paths=PATHS, timeout_s=CALLER_TIMEOUT_S):
         self.world, self.random, self.name = world, random, name
+        self.paths, self.timeout_s = paths, timeout_s
         self.attempts = []
         self.addresses = []
         self.addresses_valid_until = 0.0
@@ -93,7 +97,7 @@
             if not self.addresses:
                 await asyncio.sleep(0.1)
                 continue
-            await self.send(self.random.choice(PATHS), "key", self.random.choice(self.addresses))
+            await self.send(self.random.choice(self.paths), "key", self.random.choice(self.addresses))
             await asyncio.sleep(self.random.uniform(0.0, 0.08))
         for connection in self.connections.values():
             connection.close()
@@ -107,7 +111,7 @@
             except (OSError, asyncio.TimeoutError):
                 return None
             self.connections[entry] = connection
-        attempt = Attempt(f"{self.name}-{len(self.attempts)}", path, key, entry, now())
+        attempt = Attempt(f"{self.name}-{len(self.attempts)}", path, key, entry, now(), timeout_s=self.timeout_s)
         self.attempts.append(attempt)
         await connection.request(attempt)
         return attempt
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -73,9 +73,9 @@
         took = now() - begin
         if status != 0 or took > GRACE_S:
             self.report(f"FAILED graceful stop of {entry.name}: status {status} after {took:.1f} s")
-        # Covers requests sent just before the process exits and until it is serving again.
+        # Excuses requests sent just before the process exits and until it is serving again, but none sent earlier.
         span = [now() - 0.2, float("inf")]
-        entry.disturbed.append(span)
+        entry.restarts.append(span)
         await asyncio.sleep(self.random.uniform(0.05, 0.5))
         await entry.start()
         span[1] = now() + SETTLING_S
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -16,11 +16,14 @@
 import sys
 import tempfile
 
-from clients import Client
+from clients import LONG_PATHS, Client
 from faults import Faults
-from world import World, now
+from world import LONG_TIMEOUT_S, World, now
 
 CALLERS = 12
+# Callers whose calls outlast a graceful stop, and how long each of them waits.
+LONG_CALLERS = 4
+LONG_CALLER_TIMEOUT_S = LONG_TIMEOUT_S + 1.0
 # Timeout of the routes, and the tolerance for a response that arrives after it.
 TIMEOUT_S = 3.0
 SLACK_S = 0.5
@@ -74,6 +77,7 @@
                 continue
             entry = self.world.entries[attempt.entry]
             undisturbed = entry.undisturbed(attempt.sent_at - 0.3, attempt.ended_at)
+            undisturbed = undisturbed and entry.expected_to_serve(attempt.sent_at)
             self.check_runs(attempt)
             self.check_body(attempt)
             if undisturbed:
@@ -83,7 +87,7 @@
         return self.failures
 
     def check_runs(self, attempt):
-        non_idempotent = attempt.path.startswith(("/once/", "/lost/"))
+        non_idempotent = attempt.path.startswith(("/once/", "/lost/", "/hang/"))
         if non_idempotent and len(self.runs[attempt.id]) > 1:
             self.fail("a non-idempotent request was executed more than once", attempt)
         if non_idempotent and attempt.status in NOT_RUN and self.runs[attempt.id]:
@@ -103,7 +107,8 @@
             self.fail("a response belongs to another request", attempt, repr(attempt.body))
 
     def check_end(self, attempt, entry):
-        if attempt.end == "none" or attempt.ended_at - attempt.sent_at > TIMEOUT_S + SLACK_S:
+        limit = LONG_TIMEOUT_S if attempt.path in LONG_PATHS else TIMEOUT_S
+        if attempt.end == "none" or attempt.ended_at - attempt.sent_at > limit + SLACK_S:
             self.fail("no response before the timeout", attempt)
         elif attempt.end == "cut" and attempt.status == 0:
             self.fail("the connection closed before a response", attempt)
@@ -166,7 +171,11 @@
         faults = Faults(world, random.Random(rng.random()), report)
         clients = [Client(world, random.Random(rng.random()), f"c{i}") for i in range(CALLERS)]
         prober = Client(world, random.Random(rng.random()), "p")
-        jobs = [client.run(until + RECOVERY_S) for client in clients]
+        clients += [
+            Client(world, random.Random(rng.random()), f"l{i}", LONG_PATHS, LONG_CALLER_TIMEOUT_S)
+            for i in range(LONG_CALLERS)
+        ]
+        jobs = [client.run(until + (RECOVERY_S if client.paths != LONG_PATHS else 0)) for client in clients]
         jobs += [probe(world, prober, random.Random(rng.random()), until + RECOVERY_S), faults.run(until)]
         await asyncio.gather(*jobs)
         await asyncio.sleep(max(0, until + RECOVERY_S - now()) + RECOVERY_S)
--- a/testsuite/soak/world.py
+++ b/testsuite/soak/world.py
@@ -13,6 +13,8 @@
 STORE = (f"{NET}.0.1", 7000)
 # Time limit from SIGTERM to the exit of an instance.
 GRACE_S = 6.0
+# Time limit of calls that outlast a graceful stop.
+LONG_TIMEOUT_S = 7.0
 
 
 def now():
@@ -99,6 +101,8 @@
         self.log = open(os.path.join(log_folder, name + ".log"), "w", encoding="utf-8", errors="replace")
         self.lines = []
         self.disturbed = []
+        # Spans from the planned exit of the process until it serves again.
+        self.restarts = []
         self.leaving_since = None
         self.child = None
 
@@ -129,6 +133,10 @@
         """Returns whether the span overlaps no disturbance."""
         return all(end < begin or start > finish for begin, finish in self.disturbed)
 
+    def expected_to_serve(self, at):
+        """Returns whether no planned restart excuses a request that was sent at this time."""
+        return not any(begin <= at <= finish for begin, finish in self.restarts)
+
 
 class World:
     """A store, backend servers and entry instances."""
@@ -214,20 +222,22 @@
         await self.store_call("POST", f"/put?kind=servers&name={name}", {**spec, "born": int(time.time() * 1000)})
 
     async def configure(self):
-        def route(prefix, kind):
+        def route(prefix, kind, service="s", timeout_s=3.0):
             return {
-                "name": prefix, "hostname": "a.example", "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000,
-                "targetLatencyMs": 200, "service": "s", "maxAttempts": 2, "resumable": kind == "streaming",
-                "gapAimMs": 250,
+                "name": prefix, "hostname": "a.example", "pathPrefix": prefix, "kind": kind,
+                "timeoutMs": int(timeout_s * 1000), "targetLatencyMs": 200, "service": service, "maxAttempts": 2,
+                "resumable": kind == "streaming", "gapAimMs": 250,
             }  # fmt: skip
 
         routes = [
             route("/plain/", "idempotent"), route("/once/", "non_idempotent"), route("/lost/", "non_idempotent"),
             route("/stream/", "streaming"), route("/cut/", "streaming"),
+            route("/hang/", "non_idempotent", timeout_s=LONG_TIMEOUT_S),
+            route("/absent/", "idempotent", "absent", LONG_TIMEOUT_S),
         ]  # fmt: skip
         routes += [route(prefix, "idempotent") for prefix in self.extra_routes]
         document = {
-            "version": self.version, "routes": routes, "services": [{"name": "s", "maxConnections": 100}],
+            "version": self.version, "routes": routes, "services": [{"name": name, "maxConnections": 100} for name in ("s", "absent")],
             "limits": {}, "tenants": [{"name": "org", "apiKeys": [k for k, gone in self.keys.items() if not gone]}],
         }  # fmt: skip
         self.version += 1
