Answer every open call at a second signal to stop

Cause: the second signal ended the event loop directly. The stop knew an end only by its schedule, so calls that were open had no way to learn of an earlier one.

Change: StopPlan::endNow() moves the end of the stop to the present, and the steps that follow are those of any stop: every open call gets its final answer, and the process exits when these are written, 250 ms later at the latest. The steps of the stop run on a strand now, since a signal and the timer can come on different threads.

--- a/src/include/pomeloentry/entry.h
+++ b/src/include/pomeloentry/entry.h
@@ -31,6 +31,10 @@
     /// still served. Calls back once no request is left, or shortly before the stop grace period ends.
     void shutDown(std::function<void()> onShutDown);
 
+    /// Ends a shutdown that has begun: each open call gets its final answer, and the callback follows once these are
+    /// written, 250 ms later at the latest.
+    void endShutDown();
+
     /// Number of calls that are being relayed.
     std::uint64_t openCalls() const;
 
--- a/src/include/pomeloentry/stopplan.h
+++ b/src/include/pomeloentry/stopplan.h
@@ -34,6 +34,9 @@
     /// Callers may still come for the lifetime of the addresses that they know, so an idle instance waits for that.
     StopPlan(Instant begin, Duration gracePeriod, Duration addressLifetime);
 
+    /// Moves the end of the stop to this time, unless it comes earlier anyway.
+    void endNow(Instant now);
+
     /// Time at which calls that are still open get their final answer: a failure, or the end of the connection where an
     /// answer has begun. An admitted call has to be complete by then.
     Instant end() const;
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -14,11 +14,14 @@
 #include "pomeloport/logging.h"
 #include "pomeloport/transport/httpserver.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace pomeloentry
 {
@@ -67,7 +70,8 @@
 {
     explicit Implementation(std::shared_ptr<EntryCore> entryCore)
         : core(std::move(entryCore))
-        , timer(core->context)
+        , strand(boost::asio::make_strand(core->context))
+        , timer(strand)
     {
     }
 
@@ -191,6 +195,24 @@
     }
 
     void shutDown(std::function<void()> callback)
+    {
+        boost::asio::dispatch(strand, [self = shared_from_this(), callback = std::move(callback)]() mutable {
+            self->beginShutdown(std::move(callback));
+        });
+    }
+
+    void endShutDown()
+    {
+        boost::asio::dispatch(strand, [self = shared_from_this()] {
+            if (self->stop) {
+                self->stop->endNow(steadyNow());
+                self->core->leave(self->stop->end());
+                self->checkShutdown();
+            }
+        });
+    }
+
+    void beginShutdown(std::function<void()> callback)
     {
         onShutDown = std::move(callback);
         const auto &settings = core->settings;
@@ -206,6 +228,9 @@
 
     void checkShutdown()
     {
+        if (!onShutDown) {
+            return;
+        }
         const auto open = core->openCalls + callers->busyConnections();
         const auto step = stop->step(steadyNow(), open);
         if (step == StopStep::GiveUp) {
@@ -223,7 +248,7 @@
             watch->stop();
             directory->stop();
             mesh->stop();
-            onShutDown();
+            std::exchange(onShutDown, nullptr)();
             return;
         }
         timer.expires_after(ShutdownCheckInterval);
@@ -235,6 +260,8 @@
     }
 
     std::shared_ptr<EntryCore> core;
+    /// Executor of the shutdown.
+    boost::asio::strand<boost::asio::io_context::executor_type> strand;
     boost::asio::steady_timer timer;
     std::shared_ptr<PeerMesh> mesh;
     std::shared_ptr<FleetWatch> watch;
@@ -273,6 +300,11 @@
     m_implementation->shutDown(std::move(onShutDown));
 }
 
+void Entry::endShutDown()
+{
+    m_implementation->endShutDown();
+}
+
 std::uint64_t Entry::openCalls() const
 {
     return m_implementation->core->openCalls;
--- a/src/libpomeloentry/stopplan.cpp
+++ b/src/libpomeloentry/stopplan.cpp
@@ -23,6 +23,12 @@
 {
 }
 
+void StopPlan::endNow(Instant now)
+{
+    m_end = std::min(m_end, now);
+    m_idleExitAt = std::min(m_idleExitAt, m_end);
+}
+
 Instant StopPlan::end() const
 {
     return m_end;
--- a/src/libpomeloentry/stopplan_test.cpp
+++ b/src/libpomeloentry/stopplan_test.cpp
@@ -31,6 +31,18 @@
     CHECK(plan.step(Start + 3s, 1) == StopStep::Serve);
 }
 
+TEST_CASE("calls that are open at a second request to stop are given up at once", "[stopplan]")
+{
+    StopPlan plan(Start, 8s, 1s);
+    plan.endNow(Start + 1s);
+    CHECK(plan.end() == Start + 1s);
+    CHECK(plan.step(Start + 1s, 1) == StopStep::GiveUp);
+    CHECK(plan.step(Start + 1s, 0) == StopStep::Exit);
+    CHECK(plan.step(Start + 1250ms, 1) == StopStep::Exit);
+    plan.endNow(Start + 2s);
+    CHECK(plan.end() == Start + 1s);
+}
+
 TEST_CASE("a grace period shorter than the margins ends at once", "[stopplan]")
 {
     const StopPlan plan(Start, 200ms, 1s);
--- a/src/pomeloentry/main.cpp
+++ b/src/pomeloentry/main.cpp
@@ -28,7 +28,8 @@
     "pomelo-entry",
     "Relays callers' requests to backend servers of the users' platform, answers service discovery, and follows\n"
     "the fleet's state in the platform's store. SIGTERM starts a drain: callers move to other instances,\n"
-    "in-flight requests are completed, and the program exits with status 0. A second SIGTERM stops at once.\n"
+    "in-flight requests are completed, and the program exits with status 0. A second SIGTERM ends the\n"
+    "drain at once: requests that are still open get their final answer.\n"
     "SIGHUP checks the settings again without applying them. Without --settings, the settings file is the one\n"
     "that the platform names in the environment.\n",
     "0 drained or checked, 1 cannot run, 2 wrong usage or settings",
@@ -52,7 +53,7 @@
     return settings;
 }
 
-/// Drains on the first SIGTERM or SIGINT, stops at once on the second, and checks the settings again on SIGHUP.
+/// Drains on the first SIGTERM or SIGINT, ends the drain on the second, and checks the settings again on SIGHUP.
 class SignalHandling
 {
 public:
@@ -87,7 +88,7 @@
         }
         logEvent(LogLevel::Info, "stop", {{"signal", signal}, {"open_calls", m_entry.openCalls()}});
         if (std::exchange(m_draining, true)) {
-            m_context.stop();
+            m_entry.endShutDown();
             return;
         }
         m_entry.shutDown([this] { m_context.stop(); });
