Answer open requests of a router when a second signal ends its drain

Cause: as at the entry instances, the second signal ended the event loop. The drain had no end that open requests could learn of.

Change: DrainPlan::endNow(), after which nothing is admitted and open requests are abandoned; the router exits when the answers are written, at most about 300 ms later, with 1 as before if there were any. A request waits up to 2 s for the result of a cancel, longer than that. So a repeated Abandoned event reports the failure with the verdict known by then, as at a deadline. A failure whose request may have run no longer names the delay for requests that have not.

--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -135,7 +135,8 @@
 {
 };
 
-/// The process ends before the request can: it fails with this reason unless it has ended.
+/// The process ends before the request can: it fails with this reason unless it has ended. A repetition reports the
+/// failure even if cancelling the attempt or releasing the claim is still in progress.
 struct Abandoned
 {
     ReasonCode reason = ReasonCode::Stopping;
--- a/src/include/pomelorouter/router.h
+++ b/src/include/pomelorouter/router.h
@@ -43,6 +43,10 @@
     /// effect.
     void drain();
 
+    /// Ends a drain that has started: requests that are still open get a failure with a true verdict, and the
+    /// onDrained() handler follows once these are written, about 300 ms later at the latest.
+    void endDrain();
+
     /// Sets the handler that is called when the drain has ended. Call it before drain().
     void onDrained(std::function<void()> handler);
 
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -261,7 +261,8 @@
 
 void FlowContext::giveUp(ReasonCode reason, std::string detail, std::optional<std::chrono::milliseconds> retryAfter)
 {
-    fail({Verdict::NotRun, reason, std::move(detail), retryAfter});
+    const bool mayHaveRun = m_mayHaveRun || (m_attemptOpen && m_attemptSent);
+    fail({Verdict::NotRun, reason, std::move(detail), mayHaveRun ? std::nullopt : retryAfter});
 }
 
 void FlowContext::abandon(ReasonCode reason, std::string detail)
--- a/src/libpomeloport/coordination/relayflow_test.cpp
+++ b/src/libpomeloport/coordination/relayflow_test.cpp
@@ -184,4 +184,20 @@
     const auto *uncertain = sent.find<action::DeliverFailure>();
     REQUIRE(uncertain);
     CHECK(uncertain->failure.verdict == Verdict::MayHaveRun);
+    CHECK_FALSE(uncertain->failure.retryAfter);
+}
+
+// Guards against a process that ends without an answer because the backend server does not confirm a cancel.
+TEST_CASE("a request abandoned for the second time does not wait for its cancel", "[relayflow]")
+{
+    const event::Abandoned abandoned{ReasonCode::Stopping, "stopping", 100ms};
+    RelayedFlow flow(relayedSpec(true));
+    flow.send(event::Begin{});
+    flow.send(event::AttemptSending{1});
+    flow.send(abandoned, 1s);
+    CHECK_FALSE(flow.find<action::DeliverFailure>());
+    flow.send(abandoned, 1050ms);
+    const auto *failure = flow.find<action::DeliverFailure>();
+    REQUIRE(failure);
+    CHECK(failure->failure.verdict == Verdict::MayHaveRun);
 }
--- a/src/libpomeloport/coordination/requestflow.cpp
+++ b/src/libpomeloport/coordination/requestflow.cpp
@@ -5,6 +5,8 @@
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include <utility>
+
 namespace pomeloport
 {
 
@@ -34,6 +36,7 @@
 {
 };
 
+/// No time is left to wait for the result of a cancel or a release.
 struct DeadlinePassed
 {
 };
@@ -296,6 +299,9 @@
     void dispatch(const event::Abandoned &event)
     {
         process(raised::GiveUp{event.reason, event.detail, event.retryAfter});
+        if (std::exchange(abandoned, true)) {
+            process(raised::DeadlinePassed{});
+        }
     }
     void dispatch(const event::SegmentReady &event)
     {
@@ -318,6 +324,7 @@
 
     FlowContext context;
     detail::FlowMachine machine;
+    bool abandoned = false;
 };
 
 RequestFlow::RequestFlow(RequestSpec spec,
--- a/src/libpomelorouter/drainplan.h
+++ b/src/libpomelorouter/drainplan.h
@@ -2,6 +2,7 @@
 
 #include "pomeloport/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -10,7 +11,8 @@
 {
 
 /// The phases of a drain. Requests are still admitted until the last discovery answer that lists this instance has
-/// expired at the callers, then refused. The drain ends when all requests have ended after that. Before start() all
+/// expired at the callers, then refused. The drain ends when all requests have ended after that, or shortly after
+/// endNow(). Before start() all
 /// requests are admitted. Free of I/O; not thread-safe.
 class DrainPlan
 {
@@ -28,6 +30,22 @@
         }
     }
 
+    /// Ends a drain that has started: from now on nothing is admitted, and requests that are still open are given up.
+    /// Later calls have no effect.
+    void endNow(pomeloport::Instant now)
+    {
+        if (m_refuseAt && !m_endsAt) {
+            m_refuseAt = std::min(*m_refuseAt, now);
+            m_endsAt = now;
+        }
+    }
+
+    /// Whether requests that are still open get their final answer.
+    bool givesUp(pomeloport::Instant now) const
+    {
+        return m_endsAt && now >= *m_endsAt;
+    }
+
     bool started() const
     {
         return m_refuseAt.has_value();
@@ -42,11 +60,16 @@
     /// Whether the process may exit, given the number of open requests and unfinished replies.
     bool finished(pomeloport::Instant now, std::uint64_t openRequestsAndReplies) const
     {
-        return m_refuseAt && now >= *m_refuseAt && openRequestsAndReplies == 0;
+        const bool answered = m_refuseAt && now >= *m_refuseAt && openRequestsAndReplies == 0;
+        return answered || (m_endsAt && now >= *m_endsAt + FinalAnswerTime);
     }
 
 private:
+    /// Time in which the final answers are written.
+    static constexpr pomeloport::Duration FinalAnswerTime = std::chrono::milliseconds(250);
+
     std::optional<pomeloport::Instant> m_refuseAt;
+    std::optional<pomeloport::Instant> m_endsAt;
 };
 
 } // namespace pomelorouter
--- a/src/libpomelorouter/requestregistry.cpp
+++ b/src/libpomelorouter/requestregistry.cpp
@@ -47,6 +47,16 @@
     return found == m_sessions.end() ? nullptr : found->second;
 }
 
+std::vector<std::shared_ptr<RequestSession>> RequestRegistry::all() const
+{
+    std::vector<std::shared_ptr<RequestSession>> result;
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[sequence, session] : m_sessions) {
+        result.push_back(session);
+    }
+    return result;
+}
+
 std::vector<std::uint64_t> RequestRegistry::open(const std::vector<std::uint64_t> &sequences) const
 {
     std::vector<std::uint64_t> result;
--- a/src/libpomelorouter/requestregistry.h
+++ b/src/libpomelorouter/requestregistry.h
@@ -31,6 +31,9 @@
     /// Returns the session whose specification has this address, or null.
     std::shared_ptr<RequestSession> find(const pomeloport::RequestSpec *specification) const;
 
+    /// Returns the sessions of all open requests.
+    std::vector<std::shared_ptr<RequestSession>> all() const;
+
     /// Returns those of the sequence numbers whose requests are open.
     std::vector<std::uint64_t> open(const std::vector<std::uint64_t> &sequences) const;
 
--- a/src/libpomelorouter/requestsession.cpp
+++ b/src/libpomelorouter/requestsession.cpp
@@ -114,6 +114,11 @@
     post(event::CallerCancelled{});
 }
 
+void RequestSession::abandon(std::chrono::milliseconds retryAfter)
+{
+    post(event::Abandoned{ReasonCode::Stopping, "this instance has stopped", retryAfter});
+}
+
 void RequestSession::capacityFreed()
 {
     boost::asio::post(m_executor, [self = shared_from_this()] {
--- a/src/libpomelorouter/requestsession.h
+++ b/src/libpomelorouter/requestsession.h
@@ -51,6 +51,10 @@
     /// Cancels the request on behalf of its caller. Thread-safe.
     void cancel();
 
+    /// Fails the request because the process ends. A repetition does not wait for a pending cancel or release.
+    /// Thread-safe.
+    void abandon(std::chrono::milliseconds retryAfter);
+
     /// Notifies a waiting request that capacity may be free. If it opens an attempt, the next waiting request is
     /// notified too, since capacity may be left. Thread-safe.
     void capacityFreed();
--- a/src/libpomelorouter/router.cpp
+++ b/src/libpomelorouter/router.cpp
@@ -57,6 +57,11 @@
     m_core->drain();
 }
 
+void Router::endDrain()
+{
+    m_core->endDrain();
+}
+
 void Router::onDrained(std::function<void()> handler)
 {
     m_core->onDrained = std::move(handler);
--- a/src/libpomelorouter/router_test.cpp
+++ b/src/libpomelorouter/router_test.cpp
@@ -266,3 +266,21 @@
     undiscovered.start(start, 10s, 3s, false);
     REQUIRE(undiscovered.finished(start, 0));
 }
+
+// Guards against closing callers' connections without an answer when an operator ends a drain.
+TEST_CASE("a drain that is ended gives up what is open and admits nothing")
+{
+    using namespace std::chrono_literals;
+    pomelorouter::DrainPlan plan;
+    const Instant start{1s};
+    plan.endNow(start);
+    REQUIRE_FALSE(plan.givesUp(start));
+    plan.start(start, 10s, 3s, true);
+    plan.endNow(start + 1s);
+    plan.endNow(start + 2s);
+    CHECK_FALSE(plan.admits(start + 1s));
+    CHECK(plan.givesUp(start + 1s));
+    CHECK(plan.finished(start + 1s, 0));
+    CHECK_FALSE(plan.finished(start + 1s, 1));
+    CHECK(plan.finished(start + 1250ms, 1));
+}
--- a/src/libpomelorouter/routercore.cpp
+++ b/src/libpomelorouter/routercore.cpp
@@ -109,6 +109,12 @@
     armDrainTimer();
 }
 
+void RouterCore::endDrain()
+{
+    const std::lock_guard lock(m_drainMutex);
+    m_drainPlan.endNow(monotonicNow());
+}
+
 bool RouterCore::draining() const
 {
     const std::lock_guard lock(m_drainMutex);
@@ -162,9 +168,15 @@
         return;
     }
     const auto busy = server ? server->busyConnections() : 0;
+    bool givesUp = false;
     {
         const std::lock_guard lock(m_drainMutex);
-        drained = m_drainPlan.finished(monotonicNow(), registry.size() + busy);
+        const auto now = monotonicNow();
+        drained = m_drainPlan.finished(now, registry.size() + busy);
+        givesUp = !drained && m_drainPlan.givesUp(now);
+    }
+    if (givesUp) {
+        giveUpRequests();
     }
     if (drained) {
         logEvent(LogLevel::Info, "drain_ended", {});
@@ -175,6 +187,18 @@
     armDrainTimer();
 }
 
+/// Gives each open request its final answer.
+void RouterCore::giveUpRequests()
+{
+    const auto sessions = registry.all();
+    if (!sessions.empty()) {
+        logEvent(LogLevel::Warning, "giving_up", {{"open_requests", sessions.size()}});
+    }
+    for (const auto &session : sessions) {
+        session->abandon(RefusedRetryAfter);
+    }
+}
+
 double RouterCore::load() const
 {
     const auto limit = static_cast<double>(std::max<std::uint64_t>(1, settings.maximumOpenRequests));
--- a/src/libpomelorouter/routercore.h
+++ b/src/libpomelorouter/routercore.h
@@ -54,6 +54,9 @@
     /// Starts a drain; see Router::drain().
     void drain();
 
+    /// Ends a drain that has started; see Router::endDrain().
+    void endDrain();
+
     /// Whether a drain has started.
     bool draining() const;
 
@@ -97,6 +100,7 @@
 private:
     void armDrainTimer();
     void checkDrained();
+    void giveUpRequests();
 
     mutable std::mutex m_drainMutex;
     DrainPlan m_drainPlan;
--- a/src/pomelorouter/main.cpp
+++ b/src/pomelorouter/main.cpp
@@ -28,7 +28,8 @@
     "pomelo-router",
     "Answers callers and operators over HTTP and relays requests to backend servers. SIGTERM and SIGINT\n"
     "start a drain: the router leaves discovery, keeps serving until discovery answers cached by callers have\n"
-    "expired and all requests have ended, and exits 0. A second signal exits at once.\n",
+    "expired and all requests have ended, and exits 0. A second signal ends the drain:\n"
+    "requests that are still open fail with their verdict, and the router exits 1 if there were any.\n",
     "0 drained or checked, 1 cannot run, 2 wrong usage or settings"};
 
 /// Raises the soft limit of open files to the hard limit, since each stream needs two file descriptors.
@@ -41,13 +42,12 @@
     }
 }
 
-/// Starts a drain at the first signal and stops the process at the second, which aborts requests that are still open.
+/// Starts a drain at the first signal and ends it at the second, which fails requests that are still open.
 class SignalHandling
 {
 public:
     SignalHandling(boost::asio::io_context &context, pomelorouter::Router &router, bool &requestsAborted)
-        : m_context(context)
-        , m_router(router)
+        : m_router(router)
         , m_requestsAborted(requestsAborted)
         , m_signals(context, SIGTERM, SIGINT)
     {
@@ -63,7 +63,7 @@
             }
             if (std::exchange(m_draining, true)) {
                 m_requestsAborted = m_router.openRequests() > 0;
-                m_context.stop();
+                m_router.endDrain();
                 return;
             }
             m_router.drain();
@@ -71,7 +71,6 @@
         });
     }
 
-    boost::asio::io_context &m_context;
     pomelorouter::Router &m_router;
     bool &m_requestsAborted;
     bool m_draining = false;
