Refuse calls of a service that has had no server for two seconds

A service that the newest configuration no longer has, or that never had a server, holds each of its calls like that; so does one whose servers are all leaving.

Cause: waiting knows the deadline of the call, but not that what it waits for is gone. A wait for a slot and a wait for a server were the same.

Change: a service that no call can be placed at, because it has no server that takes new work, is given 2 s (server_gap) from the first call that finds it so. Calls wait for that long, also those that wait for memory at several engines; afterwards each is refused at once with 503, not run, and a Retry-After. The first server that appears ends this. Two seconds cover the replacement of all servers of a service, the time in which an instance that starts knows the configuration but not yet the servers, and the time after an outage of the store in which servers register again; a caller that is refused comes back after the Retry-After and finds the server there, with most of its time left. A stopping instance still names its stop as the reason, since another instance may know of a server.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -47,6 +47,9 @@
     std::optional<Instant> stopsAt;
 };
 
+/// Failure of a call whose service has had no server for longer than a replacement lasts.
+pomeloport::Failure noServerRefusal();
+
 /// Retry-After of calls that a stopping instance refuses: short, since another instance can take them.
 constexpr std::chrono::milliseconds RetryElsewhereDelay{100};
 
@@ -88,6 +91,9 @@
     Duration deferralRecheckInterval = std::chrono::milliseconds(100);
     /// Share of the time from arrival to deadline that a call may wait for a place before it is refused.
     double maximumWaitShare = 0.35;
+    /// How long calls of a service wait for a server after its last one has gone. Covers the replacement of all servers
+    /// of a service; afterwards its calls are refused at once.
+    Duration longestServerGap = std::chrono::milliseconds(2000);
     /// Safety margin by which a deferred prompt starts ahead of its latest start time, for delays that the model does
     /// not predict.
     Duration deferralMargin = std::chrono::milliseconds(500);
@@ -152,6 +158,9 @@
     /// Whether a call that has not been offered to a backend server yet can be complete before its instance stops.
     bool canFinish(const CallWork &work, Instant now) const;
 
+    /// Whether the call's service has had no server that takes new work for longer than a replacement lasts.
+    bool lacksServers(const CallWork &work, Instant now);
+
     /// Removes a call from the queue for slots because it has been placed or has ended.
     void removeFromQueue(const CallWork &work);
 
@@ -203,6 +212,9 @@
     {
         std::vector<const BackendEntry *> backends;
         std::vector<std::uint32_t> keys;
+
+        /// Whether any server takes new work.
+        bool hasServer() const;
     };
 
     pomeloport::RouteDecision choosePrompt(const CallWork &work,
@@ -233,6 +245,7 @@
                                                            const EngineChoice &choice,
                                                            Instant now,
                                                            PlacementTrace &trace) const;
+    std::optional<Instant> serverGapEnd(const std::string &service, Instant now);
     Instant latestStart(const CallWork &work, const EngineCost &cost) const;
     bool mayDefer(const CallWork &work, const EngineCost &cost, Instant now) const;
     double deferredPrefillMs(const CallWork &work, const EngineCost &cost) const;
@@ -240,7 +253,7 @@
     EngineDemand demand(Instant now) const;
     PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
-    pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace) const;
+    pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace);
     void reportChange(WorkChange change) const;
     void recordAttempt(const CallWork &work,
                        std::uint32_t attempt,
@@ -260,6 +273,8 @@
     std::shared_ptr<const FleetState> m_state;
     std::unordered_map<std::string, ServiceView> m_services;
     std::unordered_map<std::uint32_t, std::string> m_serviceByKey;
+    /// When a call first found its service without a server, by service.
+    std::unordered_map<std::string, Instant> m_withoutServerSince;
     std::unordered_map<std::uint32_t, Health> m_health;
     WorkLedger m_ledger;
     RepeatBudget m_repeats;
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -68,11 +68,21 @@
 
 } // namespace
 
+Failure noServerRefusal()
+{
+    return {Verdict::NotRun, ReasonCode::NoBackend, "the service has no backend server", RetryAfterNoPlace};
+}
+
 std::uint64_t memoryTokens(const CallWork &work)
 {
     return work.promptTokens + work.answerTokens;
 }
 
+bool EntryPlacement::ServiceView::hasServer() const
+{
+    return std::ranges::any_of(backends, [](const BackendEntry *backend) { return !backend->leaving; });
+}
+
 EntryPlacement::EntryPlacement(const EntryPolicy &policy, std::uint64_t seed)
     : m_policy(policy)
     , m_seed(seed)
@@ -104,6 +114,9 @@
         for (const auto *backend : service.backends) {
             service.keys.push_back(backendKey(*backend));
         }
+        if (service.hasServer()) {
+            m_withoutServerSince.erase(name);
+        }
     }
     m_health = std::move(health);
 }
@@ -342,6 +355,23 @@
     return now + pomeloport::fromSeconds((prefillMs + decodeMs) * StopSafety / MsPerSecond) <= *work.stopsAt;
 }
 
+bool EntryPlacement::lacksServers(const CallWork &work, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto gapEnd = serverGapEnd(work.service, now);
+    return gapEnd && now >= *gapEnd;
+}
+
+/// Time until which calls wait for a server of a service that has none; nothing if it has one.
+std::optional<Instant> EntryPlacement::serverGapEnd(const std::string &service, Instant now)
+{
+    const auto found = m_services.find(service);
+    if (found != m_services.end() && found->second.hasServer()) {
+        return std::nullopt;
+    }
+    return m_withoutServerSince.try_emplace(service, now).first->second + m_policy.longestServerGap;
+}
+
 EngineDemand EntryPlacement::demand(Instant now) const
 {
     return {m_ledger.prefillRate(now), m_ledger.latencySensitiveRate(m_policy.engines.latencySensitiveGap, now)};
@@ -437,15 +467,19 @@
     return route;
 }
 
-RouteDecision EntryPlacement::waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace) const
+RouteDecision EntryPlacement::waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace)
 {
     if (!finishesBeforeStop(work, now)) {
         return stopRefusal("this instance stops before a place becomes free");
     }
+    const auto gapEnd = serverGapEnd(work.service, now);
+    if (gapEnd && now >= *gapEnd) {
+        return noServerRefusal();
+    }
     const auto span = work.deadline - work.arrival;
     const auto latest = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.maximumWaitShare);
     if (now + m_policy.recheckInterval < latest) {
-        trace.waitLimit = latest;
+        trace.waitLimit = gapEnd ? std::min(latest, *gapEnd) : latest;
         return WaitUntil{now + m_policy.recheckInterval};
     }
     trace.reason = *trace.reason ? trace.reason : "no backend server is usable";
--- a/src/libpomeloentry/entryplacement_test.cpp
+++ b/src/libpomeloentry/entryplacement_test.cpp
@@ -421,3 +421,35 @@
     work.deadline = *work.stopsAt;
     CHECK(fixture.placement.canFinish(work, *work.stopsAt - 2s));
 }
+
+// Guards against holding calls of a service that has no server, and against refusing all while servers are replaced.
+TEST_CASE("calls wait for a server only as long as a replacement lasts", "[entryplacement]")
+{
+    const bool engines = GENERATE(false, true);
+    const EntryPolicy policy;
+    EntryPlacement placement(policy);
+    placement.update(fleet(0, engines));
+    auto work = engines ? prompt(1, 2000) : plainCall();
+    work.deadline = Start + 60s;
+    work.abandonedAt = work.deadline;
+    work.target = 20s;
+    const auto choose = [&](Instant now) {
+        PlacementTrace trace;
+        return placement.choose(work, RouteQuery{nullptr, 1, {}}, now, trace);
+    };
+    const auto gapEnd = Start + policy.longestServerGap;
+    CHECK(std::holds_alternative<WaitUntil>(choose(Start)));
+    CHECK(std::holds_alternative<WaitUntil>(choose(gapEnd - 1ms)));
+    CHECK_FALSE(placement.lacksServers(work, gapEnd - 1ms));
+    const auto refused = choose(gapEnd);
+    REQUIRE(std::holds_alternative<Failure>(refused));
+    CHECK(std::get<Failure>(refused).verdict == Verdict::NotRun);
+    CHECK(std::get<Failure>(refused).reason == pomeloport::ReasonCode::NoBackend);
+    CHECK(std::get<Failure>(refused).retryAfter);
+    CHECK(placement.lacksServers(work, gapEnd));
+
+    placement.update(fleet(1, engines));
+    CHECK(std::holds_alternative<Route>(choose(gapEnd + 1s)));
+    placement.update(fleet(0, engines));
+    CHECK(std::holds_alternative<WaitUntil>(choose(gapEnd + 2s)));
+}
--- a/src/libpomeloentry/groupreservation.cpp
+++ b/src/libpomeloentry/groupreservation.cpp
@@ -120,6 +120,10 @@
         std::exchange(m_completion, nullptr)(failure);
         return;
     }
+    if (m_core->placement.lacksServers(work, now)) {
+        std::exchange(m_completion, nullptr)(noServerRefusal());
+        return;
+    }
     const auto maximumWaitSeconds = seconds(work.deadline - work.arrival) * m_core->settings.policy.maximumWaitShare;
     if (now + PlanInterval > work.arrival + fromSeconds(maximumWaitSeconds)) {
         const Failure failure{
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -81,6 +81,7 @@
     readTime(*reader, "wait_step", policy.recheckInterval);
     readTime(*reader, "held_wait_step", policy.deferralRecheckInterval);
     readReal(*reader, "longest_wait", policy.maximumWaitShare);
+    readTime(*reader, "server_gap", policy.longestServerGap);
     readReal(*reader, "patience_factor", policy.patienceFactor);
     readTime(*reader, "least_patience", policy.minimumPatience);
     readReal(*reader, "fair_share", policy.guaranteedShare);
