Let a stop wait for unanswered orders that free memory

The memory stays reserved until its lease ends.

Cause: the stop counted open calls and unfinished replies, but not the work that the end of a call leaves behind.

Evidence: the new test of TicketHolder; with the counter in place but not yet counting it fails (0 open orders instead of 1).

The end of the stop stays the limit.

--- a/src/include/pomeloentry/stopplan.h
+++ b/src/include/pomeloentry/stopplan.h
@@ -41,7 +41,7 @@
     /// answer has begun. An admitted call has to be complete by then.
     Instant end() const;
 
-    /// What to do now, given the number of open calls and unfinished replies.
+    /// What to do now, given the number of open calls, unfinished replies and unanswered orders.
     StopStep step(Instant now, std::uint64_t open) const;
 
 private:
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -231,7 +231,7 @@
         if (!onShutDown) {
             return;
         }
-        const auto open = core->openCalls + callers->busyConnections();
+        const auto open = core->openCalls + callers->busyConnections() + core->openReleases;
         const auto step = stop->step(steadyNow(), open);
         if (step == StopStep::GiveUp) {
             const auto sessions = core->sessions.all();
--- a/src/libpomeloentry/entrycore.h
+++ b/src/libpomeloentry/entrycore.h
@@ -56,6 +56,8 @@
     pomelorouter::RequestMetrics metrics;
     std::atomic<std::uint64_t> nextSequence{1};
     std::atomic<std::uint64_t> openCalls{0};
+    /// Orders to free reserved memory that no engine has answered yet.
+    std::atomic<std::uint64_t> openReleases{0};
     /// Set once the shutdown has begun; discovery then no longer names this instance.
     std::atomic<bool> leaving{false};
     SessionRegistry sessions;
--- a/src/libpomeloentry/ticketholder.cpp
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -168,6 +168,7 @@
     m_reserveCallback = nullptr;
     m_unusedCallback = nullptr;
     for (const auto &ticket : m_tickets) {
+        ++m_core->openReleases;
         sendRelease(ticket, ReleaseAttempts);
     }
 }
@@ -178,6 +179,7 @@
     call.timeout = AnswerTimeout;
     m_core->client.send(std::move(call), [self = shared_from_this(), ticket, triesLeft](auto reply, bool) {
         if (reply) {
+            --self->m_core->openReleases;
             return;
         }
         logEvent(LogLevel::Warning,
@@ -186,6 +188,8 @@
         if (triesLeft > 1) {
             boost::asio::post(self->m_executor,
                               [self, ticket, triesLeft] { self->sendRelease(ticket, triesLeft - 1); });
+        } else {
+            --self->m_core->openReleases;
         }
     });
 }
--- a/src/libpomeloentry/ticketholder_test.cpp
+++ b/src/libpomeloentry/ticketholder_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <atomic>
+#include <mutex>
 
 using namespace pomeloentry;
 using namespace std::chrono_literals;
@@ -76,3 +77,37 @@
     CHECK(use.step(Start + 12s) == Step::Keep);
     CHECK(unusedEngine("held", true).empty());
 }
+
+// Guards against memory that stays reserved until its lease ends, because the process exits before the order to free it
+// has reached the engine.
+TEST_CASE("an order to free memory is open until its engine answers", "[ticketholder]")
+{
+    std::mutex mutex;
+    std::vector<std::shared_ptr<pomeloport::HttpExchange>> unanswered;
+    pomeloport::detail::ServerFixture engine([&](const std::shared_ptr<pomeloport::HttpExchange> &exchange) {
+        const std::lock_guard lock(mutex);
+        unanswered.push_back(exchange);
+    });
+    const auto isOrdered = [&] {
+        const std::lock_guard lock(mutex);
+        return !unanswered.empty();
+    };
+    boost::asio::io_context context;
+    const auto core = std::make_shared<EntryCore>(context, EntrySettings{}, 1);
+    const auto holder = std::make_shared<TicketHolder>(
+        core, boost::asio::make_strand(context), std::vector<Ticket>{{"e", engine.server->address(), "t", 9}});
+    holder->release();
+    while (!isOrdered()) {
+        context.run_for(10ms);
+    }
+    CHECK(core->openReleases == 1);
+    {
+        const std::lock_guard lock(mutex);
+        unanswered.front()->reply(200, "application/json", R"({"free":1})");
+    }
+    context.restart();
+    context.run_for(2s);
+    CHECK(core->openReleases == 0);
+    const std::lock_guard lock(mutex);
+    unanswered.clear();
+}
