Serve connections that wait to be accepted when a server stops accepting

Cause: closing a listening socket resets what waits in its queue, and an accepted connection whose handler runs after the close was dropped.

Change: the queue is accepted before the listening socket is closed. These connections are served like any other that is open then.

--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -146,7 +146,8 @@
     /// Sends "Connection: close" with every reply from now on.
     void closeAfterReply();
 
-    /// Stops accepting connections. Open connections finish their current request without keep-alive.
+    /// Stops accepting connections. Open connections, and those that wait to be accepted, finish their current request
+    /// without keep-alive.
     void stopAccepting();
 
 private:
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -174,3 +174,30 @@
     CHECK(fixture.sendRaw("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
           == "HTTP/1.1 418 Teapot\r\nSeal: s\r\nSeal: t\r\nConnection: close\r\nContent-Length: 4\r\n\r\nbody");
 }
+
+// Guards against resetting connections of callers that connected just before a server stops accepting.
+TEST_CASE("an HTTP server answers on connections that wait to be accepted when it stops accepting")
+{
+    asio::io_context context;
+    const auto server = HttpServer::listen(
+        context, detail::TestAddress, {}, [](const auto &exchange) { exchange->reply(200, "text/plain", "answered"); });
+    REQUIRE(server);
+    const auto address = server->address();
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+    asio::io_context clientContext;
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.emplace_back(clientContext).connect({asio::ip::make_address("127.42.0.1"), port});
+        asio::write(callers.back(), asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    }
+    server->stopAccepting();
+    std::thread runner([&context] { context.run(); });
+    for (auto &caller : callers) {
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(caller, asio::dynamic_buffer(answer), error);
+        CHECK_THAT(answer, Catch::Contains("answered") && Catch::Contains("Connection: close"));
+        caller.close();
+    }
+    runner.join();
+}
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -68,6 +68,7 @@
     {
         m_state->keepAlive = false;
         asio::dispatch(m_strand, [self = shared_from_this()] {
+            self->acceptWaiting();
             error_code ignored;
             self->m_acceptor.close(ignored);
             self->m_retry.cancel();
@@ -103,6 +104,9 @@
 
     void accepted(error_code error, HttpConnection::Socket socket)
     {
+        if (!error) {
+            serve(std::move(socket));
+        }
         if (!m_acceptor.is_open()) {
             return;
         }
@@ -115,9 +119,27 @@
             });
             return;
         }
+        accept();
+    }
+
+    void serve(HttpConnection::Socket socket)
+    {
         auto connection = std::make_shared<HttpConnection>(std::move(socket), m_state);
         asio::dispatch(connection->strand(), [connection] { connection->start(); });
-        accept();
+    }
+
+    /// Accepts the connections that wait in the queue of the listening socket, which closing it would reset.
+    void acceptWaiting()
+    {
+        error_code error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            HttpConnection::Socket socket(asio::make_strand(m_context));
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                serve(std::move(socket));
+            }
+        }
     }
 
     asio::io_context &m_context;
