Refuse what arrives while a stopping instance exits, instead of dropping it

Cause: the stop decided to exit by the number of open calls at one moment, while calls were still admitted; what arrived afterwards did not know of the exit.

Evidence: case.stoparrivals, with eight callers that call in series until the connection is refused. That a call has run and is dropped follows from reading alone.

Change: an instance that is about to exit first stops accepting connections and admits no call: what has arrived is refused as not run, with a Retry-After. It exits at the next check, 50 ms later, if nothing is open. At the end of the stop, and at a second signal, this begins with the final answers, so the end is not later than before.

--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -233,6 +233,12 @@
         }
         const auto open = core->openCalls + callers->busyConnections() + core->openReleases;
         const auto step = stop->step(steadyNow(), open);
+        const bool closed = step != StopStep::Serve && std::exchange(closing, true);
+        if (step != StopStep::Serve && !closed) {
+            // What arrived before this is still answered; nothing can run that the exit would cut off.
+            callers->stopAccepting();
+            core->leave(std::min(steadyNow(), stop->end()));
+        }
         if (step == StopStep::GiveUp) {
             const auto sessions = core->sessions.all();
             if (!sessions.empty()) {
@@ -242,9 +248,8 @@
                 session->giveUp();
             }
         }
-        if (step == StopStep::Exit) {
+        if (step == StopStep::Exit && closed) {
             logEvent(LogLevel::Info, "left", {{"open_calls", core->openCalls.load()}});
-            callers->stopAccepting();
             watch->stop();
             directory->stop();
             mesh->stop();
@@ -273,6 +278,8 @@
     std::shared_ptr<HttpServer> metrics;
     std::chrono::milliseconds longestIdleTimeout{0};
     std::optional<StopPlan> stop;
+    /// Whether the last part of the stop has begun, in which no call is admitted.
+    bool closing = false;
     std::function<void()> onShutDown;
 };
 
