Give the drain of a router an optional end

A supervisor that kills the process earlier closes the connections of all of them without an answer.

Cause: the drain had no end, so neither it nor the requests could know of the supervisor's.

Evidence: case.routerdrainlimit, run without the setting: after 10 s the drain has not ended, with a request that waits and one that streams open; their deadlines are 60 s. The new test of DrainPlan.

Change: the setting drain_limit, none by default, so that a drain stays as it was. At the limit the drain ends as at a second signal. The exit code says whether requests were given up, rather than whether any were open at a second signal.

A request that waits is refused at the limit, not earlier.

--- a/src/include/pomelorouter/router.h
+++ b/src/include/pomelorouter/router.h
@@ -50,6 +50,9 @@
     /// Sets the handler that is called when the drain has ended. Call it before drain().
     void onDrained(std::function<void()> handler);
 
+    /// Whether requests were given up because the drain ended before them.
+    bool gaveUpRequests() const;
+
     /// Number of requests that were admitted and have not ended.
     std::uint64_t openRequests() const;
 
--- a/src/include/pomelorouter/routersettings.h
+++ b/src/include/pomelorouter/routersettings.h
@@ -50,6 +50,9 @@
     /// Time until all peers have learned that this instance is leaving. A drain admits requests for this time plus the
     /// lifetime of discovery answers.
     std::chrono::milliseconds drainPropagation{3000};
+    /// Time from the start of a drain after which requests that are still open are given up. Without it, a drain waits
+    /// until all have ended.
+    std::optional<std::chrono::milliseconds> drainLimit;
     pomeloport::HttpLimits http;
     pomeloport::RequestLimits request;
     pomeloport::FlowLimits flow;
--- a/src/libpomelorouter/drainplan.h
+++ b/src/libpomelorouter/drainplan.h
@@ -11,32 +11,36 @@
 {
 
 /// The phases of a drain. Requests are still admitted until the last discovery answer that lists this instance has
-/// expired at the callers, then refused. The drain ends when all requests have ended after that, or shortly after
-/// endNow(). Before start() all
-/// requests are admitted. Free of I/O; not thread-safe.
+/// expired at the callers, then refused. The drain ends when all requests have ended after that, and at its limit the
+/// requests that are still open are given up. Before start() all requests are admitted. Free of I/O; not thread-safe.
 class DrainPlan
 {
 public:
     /// Starts the drain; later calls have no effect. Requests are admitted for the lifetime of discovery answers plus
     /// the time until all peers have learned of the drain. An instance that was never listed in discovery refuses at
-    /// once.
+    /// once. Without a limit, the drain lasts as long as its requests.
     void start(pomeloport::Instant now,
                pomeloport::Duration discoveryLifetime,
                pomeloport::Duration propagation,
-               bool wasDiscoverable)
+               bool wasDiscoverable,
+               std::optional<pomeloport::Duration> limit = {})
     {
-        if (!m_refuseAt) {
-            m_refuseAt = wasDiscoverable ? now + discoveryLifetime + propagation : now;
+        if (m_refuseAt) {
+            return;
+        }
+        m_refuseAt = wasDiscoverable ? now + discoveryLifetime + propagation : now;
+        if (limit) {
+            endAt(now + *limit);
         }
     }
 
-    /// Ends a drain that has started: from now on nothing is admitted, and requests that are still open are given up.
-    /// Later calls have no effect.
-    void endNow(pomeloport::Instant now)
+    /// Ends a drain that has started at this time, unless it ends earlier: from then on nothing is admitted, and
+    /// requests that are still open are given up.
+    void endAt(pomeloport::Instant at)
     {
-        if (m_refuseAt && !m_endsAt) {
-            m_refuseAt = std::min(*m_refuseAt, now);
-            m_endsAt = now;
+        if (m_refuseAt) {
+            m_endsAt = std::min(m_endsAt.value_or(at), at);
+            m_refuseAt = std::min(*m_refuseAt, *m_endsAt);
         }
     }
 
--- a/src/libpomelorouter/router.cpp
+++ b/src/libpomelorouter/router.cpp
@@ -67,6 +67,11 @@
     m_core->onDrained = std::move(handler);
 }
 
+bool Router::gaveUpRequests() const
+{
+    return m_core->gaveUpRequests;
+}
+
 std::uint64_t Router::openRequests() const
 {
     return m_core->openRequests;
--- a/src/libpomelorouter/router_test.cpp
+++ b/src/libpomelorouter/router_test.cpp
@@ -273,14 +273,33 @@
     using namespace std::chrono_literals;
     pomelorouter::DrainPlan plan;
     const Instant start{1s};
-    plan.endNow(start);
+    plan.endAt(start);
     REQUIRE_FALSE(plan.givesUp(start));
     plan.start(start, 10s, 3s, true);
-    plan.endNow(start + 1s);
-    plan.endNow(start + 2s);
+    plan.endAt(start + 1s);
+    plan.endAt(start + 2s);
     CHECK_FALSE(plan.admits(start + 1s));
     CHECK(plan.givesUp(start + 1s));
     CHECK(plan.finished(start + 1s, 0));
     CHECK_FALSE(plan.finished(start + 1s, 1));
     CHECK(plan.finished(start + 1250ms, 1));
 }
+
+// Guards against requests that are open when the supervisor kills a router whose drain has no end.
+TEST_CASE("a drain gives up what is open at its limit")
+{
+    using namespace std::chrono_literals;
+    const Instant start{1s};
+    pomelorouter::DrainPlan unlimited;
+    unlimited.start(start, 10s, 3s, true);
+    CHECK_FALSE(unlimited.givesUp(start + 24h));
+    CHECK_FALSE(unlimited.finished(start + 24h, 1));
+
+    pomelorouter::DrainPlan plan;
+    plan.start(start, 10s, 3s, true, 5s);
+    CHECK(plan.admits(start + 4s));
+    CHECK_FALSE(plan.givesUp(start + 4s));
+    CHECK_FALSE(plan.admits(start + 5s));
+    CHECK(plan.givesUp(start + 5s));
+    CHECK(plan.finished(start + 5250ms, 1));
+}
--- a/src/libpomelorouter/routercore.cpp
+++ b/src/libpomelorouter/routercore.cpp
@@ -97,7 +97,11 @@
         if (m_drainPlan.started()) {
             return;
         }
-        m_drainPlan.start(monotonicNow(), discoveryLifetime, settings.drainPropagation, current->configVersion > 0);
+        m_drainPlan.start(monotonicNow(),
+                          discoveryLifetime,
+                          settings.drainPropagation,
+                          current->configVersion > 0,
+                          settings.drainLimit);
     }
     logEvent(LogLevel::Info, "drain_started", {{"open_requests", openRequests.load()}});
     if (server) {
@@ -112,7 +116,7 @@
 void RouterCore::endDrain()
 {
     const std::lock_guard lock(m_drainMutex);
-    m_drainPlan.endNow(monotonicNow());
+    m_drainPlan.endAt(monotonicNow());
 }
 
 bool RouterCore::draining() const
@@ -192,6 +196,7 @@
 {
     const auto sessions = registry.all();
     if (!sessions.empty()) {
+        gaveUpRequests = true;
         logEvent(LogLevel::Warning, "giving_up", {{"open_requests", sessions.size()}});
     }
     for (const auto &session : sessions) {
--- a/src/libpomelorouter/routercore.h
+++ b/src/libpomelorouter/routercore.h
@@ -95,6 +95,8 @@
     std::atomic<bool> storeHealthy{true};
     /// Whether the drain has ended.
     std::atomic<bool> drained{false};
+    /// Whether requests were given up at the end of the drain.
+    std::atomic<bool> gaveUpRequests{false};
     std::function<void()> onDrained;
 
 private:
--- a/src/libpomelorouter/routersettings.cpp
+++ b/src/libpomelorouter/routersettings.cpp
@@ -57,6 +57,10 @@
     settings.traceRequests = reader.number("trace_requests", settings.traceRequests, 1, MaximumRequests);
     settings.controllerGrace = reader.duration("controller_grace", settings.controllerGrace, 100ms, 1h);
     settings.drainPropagation = reader.duration("drain_propagation", settings.drainPropagation, 0ms, 10min);
+    const auto drainLimit = reader.duration("drain_limit", 0ms, 0ms, 24h);
+    if (drainLimit > 0ms) {
+        settings.drainLimit = drainLimit;
+    }
 }
 
 void checkInstanceName(SettingsReader &reader, const std::string &name)
--- a/src/pomelorouter/main.cpp
+++ b/src/pomelorouter/main.cpp
@@ -28,8 +28,8 @@
     "pomelo-router",
     "Answers callers and operators over HTTP and relays requests to backend servers. SIGTERM and SIGINT\n"
     "start a drain: the router leaves discovery, keeps serving until discovery answers cached by callers have\n"
-    "expired and all requests have ended, and exits 0. A second signal ends the drain:\n"
-    "requests that are still open fail with their verdict, and the router exits 1 if there were any.\n",
+    "expired and all requests have ended, and exits 0. At the setting drain_limit and at\n"
+    "a second signal, requests that are still open fail with their verdict, and the router exits 1.\n",
     "0 drained or checked, 1 cannot run, 2 wrong usage or settings"};
 
 /// Raises the soft limit of open files to the hard limit, since each stream needs two file descriptors.
@@ -46,9 +46,8 @@
 class SignalHandling
 {
 public:
-    SignalHandling(boost::asio::io_context &context, pomelorouter::Router &router, bool &requestsAborted)
+    SignalHandling(boost::asio::io_context &context, pomelorouter::Router &router)
         : m_router(router)
-        , m_requestsAborted(requestsAborted)
         , m_signals(context, SIGTERM, SIGINT)
     {
         wait();
@@ -62,7 +61,6 @@
                 return;
             }
             if (std::exchange(m_draining, true)) {
-                m_requestsAborted = m_router.openRequests() > 0;
                 m_router.endDrain();
                 return;
             }
@@ -72,7 +70,6 @@
     }
 
     pomelorouter::Router &m_router;
-    bool &m_requestsAborted;
     bool m_draining = false;
     boost::asio::signal_set m_signals;
 };
@@ -85,9 +82,8 @@
         std::cerr << "pomelo-router: " << pomeloport::lastReason() << '\n';
         return DaemonFailed;
     }
-    bool requestsAborted = false;
     router->onDrained([&context] { context.stop(); });
-    const SignalHandling signals(context, *router, requestsAborted);
+    const SignalHandling signals(context, *router);
     pomeloport::logEvent(
         pomeloport::LogLevel::Info, "started", {{"instance", settings.instance}, {"address", router->address()}});
     std::vector<std::thread> threads;
@@ -98,8 +94,9 @@
     for (auto &thread : threads) {
         thread.join();
     }
-    pomeloport::logEvent(pomeloport::LogLevel::Info, "stopped", {{"cut", requestsAborted}});
-    return requestsAborted ? DaemonFailed : DaemonStopped;
+    const bool gaveUpRequests = router->gaveUpRequests();
+    pomeloport::logEvent(pomeloport::LogLevel::Info, "stopped", {{"cut", gaveUpRequests}});
+    return gaveUpRequests ? DaemonFailed : DaemonStopped;
 }
 
 } // namespace
