--- a/src/libpomelorouter/router.cpp
+++ b/src/libpomelorouter/router.cpp
@@ -57,11 +57,21 @@
     m_core->drain();
 }
 
+void Router::endDrain()
+{
+    m_core->endDrain();
+}
+
 void Router::onDrained(std::function<void()> handler)
 {
     m_core->onDrained = std::move(handler);
 }
 
+bool Router::gaveUpRequests() const
+{
+    return m_core->gaveUpRequests;
+}
+
 std::uint64_t Router::openRequests() const
 {
     return m_core->openRequests;
--- a/src/libpomelorouter/routercore.h
+++ b/src/libpomelorouter/routercore.h
@@ -54,6 +54,9 @@
     /// Starts a drain; see Router::drain().
     void drain();
 
+    /// Ends a drain that has started; see Router::endDrain().
+    void endDrain();
+
     /// Whether a drain has started.
     bool draining() const;
 
@@ -92,11 +95,14 @@
     std::atomic<bool> storeHealthy{true};
     /// Whether the drain has ended.
     std::atomic<bool> drained{false};
+    /// Whether requests were given up at the end of the drain.
+    std::atomic<bool> gaveUpRequests{false};
     std::function<void()> onDrained;
 
 private:
     void armDrainTimer();
     void checkDrained();
+    void giveUpRequests();
 
     mutable std::mutex m_drainMutex;
     DrainPlan m_drainPlan;
