Keep a stalled stream at its engine until another place is free

Other instances cut none there, since their calls may wait longer.

Cause: an engine that prefills a part of a long prompt leaves its streams without an event for longer than the stall timeout. The stalled attempt was ended first and a place was looked for after that; all slots were taken, and a call that waits too long for a place is given up, here with its answer half delivered.

Evidence: the log of a cut stream has attempt_broken, then waiting with "no engine has a free slot and memory", then the end of the answer, while the engine went on. The test "a stalled stream continues while no other backend server has a place" fails on the code before with CloseAttempt.

Change: the attempt is replaced in one step, only when the chooser returns a route; RouteQuery::mayWait tells it not to queue the request. Otherwise the attempt stays and looks again every 200 ms. The two tests that expected the end of the stalled attempt and the next one a second later expect both at once now, which is stricter.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -233,6 +233,7 @@
     bool queueForSlot(const CallWork &work,
                       const EngineCost &cost,
                       std::vector<EngineCandidate> &engines,
+                      bool mayWait,
                       Instant now,
                       PlacementTrace &trace);
     std::optional<EngineChoice> bestEngines(const CallWork &work,
--- a/src/include/pomeloport/coordination/requestflow.h
+++ b/src/include/pomeloport/coordination/requestflow.h
@@ -312,8 +312,8 @@
     /// Whether a non-idempotent request needs an idempotency key and a claim in the store. Not needed where each resend
     /// by a caller counts as a new request, since the process that serves the request then knows all of its attempts.
     bool claims = true;
-    /// Whether a stalled attempt continues while no further attempt is allowed, since its backend server may merely be
-    /// slow.
+    /// Whether a stalled attempt continues while no further attempt is allowed or has a place, since its backend server
+    /// may merely be slow.
     bool keepStalledAttempt = false;
 };
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -148,7 +148,7 @@
                                            PlacementTrace &trace)
 {
     auto engines = candidates(work, query.avoid, now, trace);
-    if (queueForSlot(work, cost, engines, now, trace)) {
+    if (queueForSlot(work, cost, engines, query.mayWait, now, trace)) {
         trace.reason = "waiting for a slot behind other prompts";
         return waitOrRefuse(work, now, trace);
     }
@@ -191,11 +191,12 @@
     return result;
 }
 
-/// Reduces the engines to those at which the prompt may take a slot. If there are none, queues the prompt for a slot,
-/// which other instances are told, and returns true.
+/// Reduces the engines to those at which the prompt may take a slot. If there are none, queues the prompt for a slot if
+/// it may wait, which other instances are told, and returns true.
 bool EntryPlacement::queueForSlot(const CallWork &work,
                                   const EngineCost &cost,
                                   std::vector<EngineCandidate> &engines,
+                                  bool mayWait,
                                   Instant now,
                                   PlacementTrace &trace)
 {
@@ -219,7 +220,7 @@
         engines = std::move(assigned);
         return false;
     }
-    if (own == m_ledger.own().end()) {
+    if (mayWait && own == m_ledger.own().end()) {
         m_ledger.open(std::move(item));
     }
     return true;
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -196,7 +196,7 @@
                   {"damage", trace.costToOthers},
                   {"before", trace.queuePosition},
                   {"waited_ms", (now - m_call.work.arrival).count() / 1000}});
-    } else if (std::holds_alternative<WaitUntil>(decision)) {
+    } else if (query.mayWait && std::holds_alternative<WaitUntil>(decision)) {
         logWait(trace, now);
     }
     return decision;
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -19,6 +19,9 @@
 /// cheap, and the delay between them grows.
 constexpr std::size_t TotalPerCountedAttempt = 4;
 
+/// Interval at which a stalled attempt that can't be replaced yet tries again.
+constexpr Duration StalledCheckInterval = std::chrono::milliseconds(200);
+
 /// Retry delay from which backend servers that failed or refused the request earlier are tried again.
 constexpr Duration AvoidanceDelayLimit = std::chrono::milliseconds(500);
 
@@ -215,17 +218,41 @@
 
 void FlowContext::attemptStalled()
 {
-    if (m_limits.keepStalledAttempt) {
-        const bool anotherAttemptAllowed = !m_spec.nonIdempotent && m_countedAttempts < m_limits.maximumAttempts
-            && (m_spec.deterministic || m_answer.nextIndex() == 0);
-        if (!anotherAttemptAllowed || !m_permit(m_now)) {
-            m_sentAt = m_now;
-            m_stallAt = m_now + m_limits.stallTimeout;
-            return;
-        }
-        m_retryPermitted = true;
+    if (!m_limits.keepStalledAttempt) {
+        attemptBroken();
+        return;
+    }
+    const bool mayReplace = mayReplaceStalledAttempt();
+    if (!mayReplace || !m_permit(m_now) || !replaceStalledAttempt()) {
+        m_stallAt = m_now + (mayReplace ? StalledCheckInterval : m_limits.stallTimeout);
+        m_sentAt = m_stallAt - m_routes.back().firstChunkTimeout;
+    }
+}
+
+bool FlowContext::mayReplaceStalledAttempt() const
+{
+    return !m_spec.nonIdempotent && !attemptsExhausted() && (m_spec.deterministic || m_answer.nextIndex() == 0);
+}
+
+/// Moves the request from a stalled attempt to another one if there is a place for that now. The stalled backend server
+/// may merely be slow, so the attempt is not given up for a wait. Returns whether the request was moved.
+bool FlowContext::replaceStalledAttempt()
+{
+    RouteQuery query{&m_spec, static_cast<std::uint32_t>(m_routes.size()) + 1, m_avoidedBackends, false};
+    query.avoid.push_back(currentBackend());
+    const RouteDecision decision = m_chooser(query, m_now);
+    const auto *route = std::get_if<Route>(&decision);
+    if (!route || route->members.empty()) {
+        return false;
     }
-    attemptBroken();
+    m_avoidedBackends = std::move(query.avoid);
+    cancelMember();
+    m_mayHaveRun = true;
+    m_attemptSent = false;
+    closeMember(action::CloseAttempt::Outcome::Broken);
+    releaseGroupResources();
+    apply(*route);
+    return true;
 }
 
 void FlowContext::cancelSettled(bool neverRan)
@@ -277,12 +304,16 @@
     deliverFailure();
 }
 
+bool FlowContext::attemptsExhausted() const
+{
+    return m_countedAttempts >= m_limits.maximumAttempts
+        || m_routes.size() >= TotalPerCountedAttempt * m_limits.maximumAttempts;
+}
+
 void FlowContext::retry(bool withoutDelay)
 {
     releaseGroupResources();
-    const bool exhausted = m_countedAttempts >= m_limits.maximumAttempts
-        || m_routes.size() >= TotalPerCountedAttempt * m_limits.maximumAttempts;
-    if (exhausted) {
+    if (attemptsExhausted()) {
         fail({Verdict::NotRun, ReasonCode::BackendFailed, "no attempt succeeded", RetryAfter});
         return;
     }
@@ -290,7 +321,7 @@
         choose();
         return;
     }
-    if (!std::exchange(m_retryPermitted, false) && !m_permit(m_now)) {
+    if (!m_permit(m_now)) {
         fail({Verdict::NotRun, ReasonCode::Overloaded, "the retry budget is exhausted", RetryAfter});
         return;
     }
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -107,6 +107,9 @@
     void apply(const Failure &failure);
     void openMember();
     void retry(bool withoutDelay);
+    bool attemptsExhausted() const;
+    bool mayReplaceStalledAttempt() const;
+    bool replaceStalledAttempt();
     void fail(Failure failure);
     void settleClaim();
     void deliverFailure();
@@ -148,8 +151,6 @@
     bool m_attemptOpen = false;
     bool m_attemptSent = false;
     bool m_chunkSeen = false;
-    /// The retry budget has already been charged for the next retry.
-    bool m_retryPermitted = false;
 
     /// A claim of this request may be in force in the store.
     bool m_claimPossible = false;
--- a/src/libpomeloport/coordination/relayflow_test.cpp
+++ b/src/libpomeloport/coordination/relayflow_test.cpp
@@ -41,7 +41,11 @@
             std::move(spec),
             {{"r1", 1}, 1, 0},
             relayLimits(),
-            [firstChunkTimeout](const RouteQuery &, Instant) {
+            [this, firstChunkTimeout](const RouteQuery &query, Instant) {
+                lastQuery = query;
+                if (placesTaken) {
+                    return RouteDecision(WaitUntil{Start + 5s});
+                }
                 Route route{{{"e1", 0, 0}}, EnginePriority::Normal, 0};
                 route.firstChunkTimeout = firstChunkTimeout;
                 return RouteDecision(route);
@@ -71,6 +75,8 @@
     }
 
     bool permitted = true;
+    bool placesTaken = false;
+    RouteQuery lastQuery;
     int permitRequests = 0;
     std::vector<FlowAction> last;
 
@@ -124,6 +130,28 @@
     CHECK(relay.find<action::DeliverChunk>());
 }
 
+// Guards against cutting streams whose engine is merely slow: an engine that prefilled a long prompt left its streams
+// without events, and each was ended for a place elsewhere that did not exist.
+TEST_CASE("a stalled stream continues while no other backend server has a place", "[relayflow]")
+{
+    RelayedFlow relay(relayedSpec(false));
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::ChunkArrived{1, 0, "a"}, 1s);
+    relay.placesTaken = true;
+    relay.send(event::TimerFired{}, 3s);
+    CHECK_FALSE(relay.find<action::CloseAttempt>());
+    CHECK_FALSE(relay.lastQuery.mayWait);
+    CHECK(relay.lastQuery.avoid == std::vector<std::string>{"e1"});
+    relay.send(event::ChunkArrived{1, 1, "b"}, 4s);
+    CHECK(relay.find<action::DeliverChunk>());
+    relay.placesTaken = false;
+    relay.send(event::TimerFired{}, 6s);
+    CHECK(relay.find<action::CloseAttempt>());
+    REQUIRE(relay.find<action::OpenAttempt>());
+    CHECK(relay.find<action::OpenAttempt>()->resumeFrom == 2);
+}
+
 TEST_CASE("a stalled stream is resumed by another attempt at most once", "[relayflow]")
 {
     RelayedFlow relay(relayedSpec(false));
@@ -132,7 +160,6 @@
     relay.send(event::ChunkArrived{1, 0, "a"}, 1s);
     relay.send(event::TimerFired{}, 3s);
     CHECK(relay.find<action::CloseAttempt>());
-    relay.send(event::TimerFired{}, 4s);
     const auto *attempt = relay.find<action::OpenAttempt>();
     REQUIRE(attempt);
     CHECK(attempt->resumeFrom == 1);
@@ -150,7 +177,6 @@
     relay.send(event::AttemptSending{1});
     relay.send(event::TimerFired{}, 1s);
     CHECK(relay.find<action::CloseAttempt>());
-    relay.send(event::TimerFired{}, 2s);
     REQUIRE(relay.find<action::OpenAttempt>());
     relay.send(event::AttemptSending{2}, 2s);
     relay.send(event::TimerFired{}, 4s);
