Deliver an answer that arrives when its attempt counts as stalled

Cause: due timers are processed before the event that comes in. Since a stalled attempt is replaced in one step, the event that carried its answer replaced it first; the answer was dropped as one of an old attempt, and the end that followed was fed under the number of the new attempt, which then had no chunk.

Evidence: the trace (answer at 14.296 s, second choice at 14.298, end with events=0 at 14.304), and the test "an answer that arrives when its attempt counts as stalled is delivered", which fails on the code before.

Change: an attempt whose chunk or end arrives does not stall. The session feeds what one read contains under the number of the attempt that read it.

--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -525,8 +525,9 @@
 
 void EntrySession::processEvents(std::vector<StreamEvent> events)
 {
+    const auto attempt = m_attempt.number;
     for (auto &next : events) {
-        if (m_attempt.closed || m_finished) {
+        if (m_attempt.number != attempt || m_attempt.closed || m_finished) {
             return;
         }
         if (!std::exchange(m_attempt.answered, true)) {
@@ -571,8 +572,10 @@
         return;
     }
     m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
-    feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(m_attempt.body)});
-    feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
+    const auto attempt = m_attempt.number;
+    const auto index = m_attempt.chunks++;
+    feed(event::ChunkArrived{attempt, index, std::move(m_attempt.body)});
+    feed(event::AttemptEnded{attempt, index + 1, std::nullopt});
 }
 
 void EntrySession::onStreamEvent(callevent::Broken &event)
--- a/src/libpomeloport/coordination/relayflow_test.cpp
+++ b/src/libpomeloport/coordination/relayflow_test.cpp
@@ -152,6 +152,19 @@
     CHECK(relay.find<action::OpenAttempt>()->resumeFrom == 2);
 }
 
+// Guards against answers that are dropped because they arrive when another attempt is due.
+TEST_CASE("an answer that arrives when its attempt counts as stalled is delivered", "[relayflow]")
+{
+    RelayedFlow relay(relayedSpec(false), 1s);
+    relay.send(event::Begin{});
+    relay.send(event::AttemptSending{1});
+    relay.send(event::ChunkArrived{1, 0, "a"}, 1s);
+    CHECK(relay.find<action::DeliverChunk>());
+    CHECK_FALSE(relay.find<action::OpenAttempt>());
+    relay.send(event::AttemptEnded{1, 1, std::nullopt}, 1s);
+    CHECK(relay.find<action::DeliverEnd>());
+}
+
 TEST_CASE("a stalled stream is resumed by another attempt at most once", "[relayflow]")
 {
     RelayedFlow relay(relayedSpec(false));
--- a/src/libpomeloport/coordination/requestflow.cpp
+++ b/src/libpomeloport/coordination/requestflow.cpp
@@ -269,8 +269,16 @@
         machine.process_event(raised::Decided<Phase>{});
     }
 
-    /// Raises the events that are due by now, the deadline first.
-    void processDueTimers()
+    /// Whether the event shows that the current attempt makes progress.
+    bool isProgress(const FlowEvent &event) const
+    {
+        const auto *chunk = std::get_if<event::ChunkArrived>(&event);
+        const auto *end = std::get_if<event::AttemptEnded>(&event);
+        return (chunk && context.isCurrent(chunk->attempt)) || (end && context.isCurrent(end->attempt));
+    }
+
+    /// Raises the events that are due by now, the deadline first. An attempt that makes progress does not stall.
+    void processDueTimers(bool progress)
     {
         if (context.deadlineDue() || context.claimReleaseDue()) {
             process(raised::GiveUp{ReasonCode::DeadlinePassed, "the deadline passed", std::nullopt});
@@ -278,7 +286,7 @@
         if (context.deadlineDue()) {
             process(raised::DeadlinePassed{});
         }
-        if (context.stallDue()) {
+        if (!progress && context.stallDue()) {
             process(raised::Stalled{});
         }
         if (context.cancelTimeoutDue()) {
@@ -344,7 +352,7 @@
 {
     m_implementation->context.startEvent(now);
     if (m_implementation->context.phase() != FlowPhase::Idle) {
-        m_implementation->processDueTimers();
+        m_implementation->processDueTimers(m_implementation->isProgress(event));
     }
     std::visit([this](const auto &typedEvent) { m_implementation->dispatch(typedEvent); }, event);
     return m_implementation->context.finishEvent();
