Judge by the place found whether a call can end before its instance stops

Cause: the estimate of a call's duration knew neither the place that it gets nor the load.

Change: admission and waiting only refuse what can't end in time at best. Placement refuses, as not run, what it predicts to end after the stop: 1.5 times the predicted first event and 1.4 times the decoding of the longest answer; an answer that has begun is excepted. Long prompts within the share that is served in any case are placed at the stop instead of refused. A reservation of memory in progress is completed if it can be, and not planned again. RouteQuery::answerBegun says that the caller has a part of the answer.

"A prompt is not deferred by an instance that stops" expects a place for a guaranteed prompt now and a refusal for others.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -155,7 +155,8 @@
                 pomeloport::action::CloseAttempt::Outcome outcome,
                 Instant now);
 
-    /// Whether a call that has not been offered to a backend server yet can be complete before its instance stops.
+    /// Whether a call that has not been offered to a backend server yet can be complete before its instance stops, if
+    /// it finds the best place at once. Placement decides by the place that it finds.
     bool canFinish(const CallWork &work, Instant now) const;
 
     /// Whether the call's service has had no server that takes new work for longer than a replacement lasts.
@@ -213,8 +214,8 @@
         std::vector<const BackendEntry *> backends;
         std::vector<std::uint32_t> keys;
 
-        /// Whether any server takes new work.
-        bool hasServer() const;
+        /// Number of servers that take new work.
+        std::size_t usableServers() const;
     };
 
     pomeloport::RouteDecision choosePrompt(const CallWork &work,
@@ -249,8 +250,8 @@
     std::optional<Instant> serverGapEnd(const std::string &service, Instant now);
     Instant latestStart(const CallWork &work, const EngineCost &cost) const;
     bool mayDefer(const CallWork &work, const EngineCost &cost, Instant now) const;
-    double deferredPrefillMs(const CallWork &work, const EngineCost &cost) const;
-    bool finishesBeforeStop(const CallWork &work, Instant now) const;
+    bool canFinishAtBest(const CallWork &work, Instant now) const;
+    bool endsBeforeStop(const CallWork &work, Duration predictedFirst, Instant now) const;
     EngineDemand demand(Instant now) const;
     PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
--- a/src/include/pomeloentry/stopplan.h
+++ b/src/include/pomeloentry/stopplan.h
@@ -46,6 +46,8 @@
 
 private:
     Instant m_end;
+    /// When the process exits, whether or not the final answers are written.
+    Instant m_exitAt;
     Instant m_idleExitAt;
 };
 
--- a/src/include/pomeloport/coordination/route.h
+++ b/src/include/pomeloport/coordination/route.h
@@ -132,6 +132,8 @@
     std::uint32_t attempt = 1;
     /// Backend servers that have already failed or refused this request.
     std::vector<std::string> avoid;
+    /// Whether the caller has received a part of the answer.
+    bool answerBegun = false;
     /// Whether the request waits if there is no place. Otherwise it keeps the place it has, and the chooser must not
     /// queue it.
     bool mayWait = true;
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -220,8 +220,8 @@
         core->leave(stop->end());
         mesh->announce();
         callers->closeAfterReply();
-        for (const auto &session : core->sessions.all()) {
-            session->instanceStops(stop->end());
+        for (auto &session : core->sessions.all()) {
+            EntrySession::instanceStops(std::move(session), stop->end());
         }
         checkShutdown();
     }
@@ -240,12 +240,12 @@
             core->leave(std::min(steadyNow(), stop->end()));
         }
         if (step == StopStep::GiveUp) {
-            const auto sessions = core->sessions.all();
-            if (!sessions.empty()) {
+            auto sessions = core->sessions.all();
+            if (!sessions.empty() && !std::exchange(givingUp, true)) {
                 logEvent(LogLevel::Warning, "giving_up", {{"open_calls", sessions.size()}});
             }
-            for (const auto &session : sessions) {
-                session->giveUp();
+            for (auto &session : sessions) {
+                EntrySession::giveUp(std::move(session));
             }
         }
         if (step == StopStep::Exit && closed) {
@@ -280,6 +280,8 @@
     std::optional<StopPlan> stop;
     /// Whether the last part of the stop has begun, in which no call is admitted.
     bool closing = false;
+    /// Whether open calls have been given up, which is logged once.
+    bool givingUp = false;
     std::function<void()> onShutDown;
 };
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -37,10 +37,10 @@
 /// Attempt number of a call that waits for a slot.
 constexpr std::uint32_t WaitingAttempt = 0;
 constexpr double MsPerSecond = 1000;
-/// A call is only begun on a stopping instance if this multiple of its expected duration is left.
-constexpr double StopSafety = 2;
-/// Expected duration of a call without a prompt, as a multiple of its target time.
-constexpr double PlainDurationTargets = 2;
+/// A call is only begun on a stopping instance if these multiples of its predicted time to the first event and of the
+/// time to decode the longest answer are left.
+constexpr double FirstEventSafety = 1.5;
+constexpr double DecodeSafety = 1.4;
 /// Odd multiplier of a multiplicative hash, which permutes keys pseudo-randomly.
 constexpr std::uint64_t OrderFactor = 0x9E3779B97F4A7C15;
 
@@ -78,9 +78,10 @@
     return work.promptTokens + work.answerTokens;
 }
 
-bool EntryPlacement::ServiceView::hasServer() const
+std::size_t EntryPlacement::ServiceView::usableServers() const
 {
-    return std::ranges::any_of(backends, [](const BackendEntry *backend) { return !backend->leaving; });
+    return static_cast<std::size_t>(
+        std::ranges::count_if(backends, [](const BackendEntry *backend) { return !backend->leaving; }));
 }
 
 EntryPlacement::EntryPlacement(const EntryPolicy &policy, std::uint64_t seed)
@@ -114,7 +115,7 @@
         for (const auto *backend : service.backends) {
             service.keys.push_back(backendKey(*backend));
         }
-        if (service.hasServer()) {
+        if (service.usableServers() > 0) {
             m_withoutServerSince.erase(name);
         }
     }
@@ -157,6 +158,9 @@
         trace.reason = "no engine has a free slot and memory";
         return waitOrRefuse(work, now, trace);
     }
+    if (!query.answerBegun && !endsBeforeStop(work, choice->predictedFirst, now)) {
+        return stopRefusal("this instance stops before the answer can be complete");
+    }
     // A retry is not refused for its worth: the caller may have received part of the answer.
     auto decision = query.attempt > 1 ? std::nullopt : deferOrRefuse(work, cost, *choice, now, trace);
     if (decision) {
@@ -275,11 +279,10 @@
             return std::nullopt;
         }
         trace.reason = "its prefill would delay prompts that are worth more";
-        if (work.stopsAt) {
-            // Another instance can defer it for longer, and serve it sooner once there is room.
+        if (work.stopsAt && guaranteeDraw(work) >= m_policy.guaranteedShare) {
             return stopRefusal("this instance stops and defers no prompts");
         }
-        if (mayDefer(work, cost, now)) {
+        if (!work.stopsAt && mayDefer(work, cost, now)) {
             trace.waitLimit = latestStart(work, cost);
             return WaitUntil{std::min(now + m_policy.deferralRecheckInterval, latestStart(work, cost))};
         }
@@ -318,42 +321,51 @@
 
 /// Latest start at which a deferred prompt can still be answered in time, if a share of the engines prefills it.
 Instant EntryPlacement::latestStart(const CallWork &work, const EngineCost &cost) const
-{
-    const double prefillMs = deferredPrefillMs(work, cost);
-    return lastFirstEvent(work, cost) - pomeloport::fromSeconds(prefillMs / MsPerSecond) - m_policy.deferralMargin;
-}
-
-/// Prefill time of a prompt, in milliseconds, if a share of the engines prefills it.
-double EntryPlacement::deferredPrefillMs(const CallWork &work, const EngineCost &cost) const
 {
     const auto found = m_services.find(work.service);
     const auto engines = found == m_services.end() ? 0 : found->second.backends.size();
     const double prefillEngines = std::clamp(static_cast<double>(engines) * m_policy.deferredPrefillShare,
                                              1.0,
                                              static_cast<double>(m_policy.engines.maximumHelpers));
-    return prefillTimeMs(cost, static_cast<double>(work.promptTokens)) / prefillEngines;
+    const double prefillMs = prefillTimeMs(cost, static_cast<double>(work.promptTokens)) / prefillEngines;
+    return lastFirstEvent(work, cost) - pomeloport::fromSeconds(prefillMs / MsPerSecond) - m_policy.deferralMargin;
 }
 
 bool EntryPlacement::canFinish(const CallWork &work, Instant now) const
 {
     const std::lock_guard lock(m_mutex);
-    return finishesBeforeStop(work, now);
+    return canFinishAtBest(work, now);
 }
 
-/// The same with the mutex held. A call whose deadline comes before the stop always ends in time.
-bool EntryPlacement::finishesBeforeStop(const CallWork &work, Instant now) const
+/// The same with the mutex held: as if the call began now and all engines that take work shared its prefill.
+bool EntryPlacement::canFinishAtBest(const CallWork &work, Instant now) const
+{
+    const auto *engine = engineOf(work.service);
+    if (!engine || work.promptTokens == 0) {
+        return endsBeforeStop(work, Duration::zero(), now);
+    }
+    const auto found = m_services.find(work.service);
+    const auto usable = found == m_services.end() ? 0 : found->second.usableServers();
+    const double sharing =
+        std::clamp(static_cast<double>(usable), 1.0, static_cast<double>(m_policy.engines.maximumHelpers));
+    const double prefillMs = prefillTimeMs(*engine, static_cast<double>(work.promptTokens)) / sharing;
+    return endsBeforeStop(work, pomeloport::fromSeconds(prefillMs / MsPerSecond), now);
+}
+
+/// Whether a call is complete before its instance stops, given the predicted time to its first event. A call without a
+/// prompt is expected to take its target time at least. One whose deadline comes before the stop always ends in time.
+bool EntryPlacement::endsBeforeStop(const CallWork &work, Duration predictedFirst, Instant now) const
 {
     if (!work.stopsAt || work.deadline <= *work.stopsAt) {
         return true;
     }
     const auto *engine = engineOf(work.service);
+    const double firstMs = pomeloport::seconds(predictedFirst) * MsPerSecond * FirstEventSafety;
     if (!engine || work.promptTokens == 0) {
-        const double seconds = pomeloport::seconds(work.target) * PlainDurationTargets * StopSafety;
-        return now + pomeloport::fromSeconds(seconds) <= *work.stopsAt;
+        return now + std::max(work.target, pomeloport::fromSeconds(firstMs / MsPerSecond)) <= *work.stopsAt;
     }
-    const double prefillMs = deferredPrefillMs(work, *engine);
-    const double decodeMs = decodeTimeMs(*engine, std::max(work.answerTokens, work.maximumAnswerTokens));
-    return now + pomeloport::fromSeconds((prefillMs + decodeMs) * StopSafety / MsPerSecond) <= *work.stopsAt;
+    const double decodeMs = decodeTimeMs(*engine, std::max(work.answerTokens, work.maximumAnswerTokens)) * DecodeSafety;
+    return now + pomeloport::fromSeconds((firstMs + decodeMs) / MsPerSecond) <= *work.stopsAt;
 }
 
 bool EntryPlacement::lacksServers(const CallWork &work, Instant now)
@@ -367,7 +379,7 @@
 std::optional<Instant> EntryPlacement::serverGapEnd(const std::string &service, Instant now)
 {
     const auto found = m_services.find(service);
-    if (found != m_services.end() && found->second.hasServer()) {
+    if (found != m_services.end() && found->second.usableServers() > 0) {
         return std::nullopt;
     }
     return m_withoutServerSince.try_emplace(service, now).first->second + m_policy.longestServerGap;
@@ -412,7 +424,7 @@
     PlacementTrace trace;
     const auto choice =
         engine ? bestEngines(work, *engine, candidates(work, avoid, now, trace), now, trace) : std::nullopt;
-    if (!choice) {
+    if (!choice || !endsBeforeStop(work, choice->predictedFirst, now)) {
         return std::nullopt;
     }
     GroupPlan plan{routeOf(work, *choice), choice->tickets};
@@ -460,6 +472,9 @@
         return waitOrRefuse(work, now, trace);
     }
     trace.predictedFirst = pomeloport::fromSeconds(bestMs / 1000);
+    if (!endsBeforeStop(work, trace.predictedFirst, now)) {
+        return stopRefusal("this instance stops before the answer can be complete");
+    }
     Route route;
     route.members.push_back({best->id, 0, 0});
     const auto predicted = pomeloport::fromSeconds(bestMs * m_policy.patienceFactor / 1000);
@@ -470,7 +485,7 @@
 
 RouteDecision EntryPlacement::waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace)
 {
-    if (!finishesBeforeStop(work, now)) {
+    if (!canFinishAtBest(work, now)) {
         return stopRefusal("this instance stops before a place becomes free");
     }
     const auto gapEnd = serverGapEnd(work.service, now);
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -125,26 +125,25 @@
     feed(event::Begin{});
 }
 
-void EntrySession::instanceStops(Instant end)
+void EntrySession::instanceStops(std::shared_ptr<EntrySession> session, Instant end)
 {
-    boost::asio::dispatch(m_executor, [self = shared_from_this(), end] {
+    const auto executor = session->m_executor;
+    boost::asio::dispatch(executor, [self = std::move(session), end] {
         if (self->m_finished) {
             return;
         }
         self->m_call.work.stopsAt = end;
-        const bool reserving = self->m_groupReservation && (self->m_attempt.number == 0 || self->m_attempt.closed);
-        if (reserving) {
-            self->feed(event::Abandoned{
-                ReasonCode::Stopping, "this instance stops and reserves no memory", RetryElsewhereDelay});
-        } else {
-            self->feed(event::CapacityFreed{});
+        if (self->m_groupReservation) {
+            self->m_groupReservation->instanceStops(end);
         }
+        self->feed(event::CapacityFreed{});
     });
 }
 
-void EntrySession::giveUp()
+void EntrySession::giveUp(std::shared_ptr<EntrySession> session)
 {
-    boost::asio::dispatch(m_executor, [self = shared_from_this()] {
+    const auto executor = session->m_executor;
+    boost::asio::dispatch(executor, [self = std::move(session)] {
         if (!self->m_finished) {
             self->feed(event::Abandoned{ReasonCode::Stopping, "this instance has stopped", RetryElsewhereDelay});
         }
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -47,12 +47,12 @@
     /// Begins to relay the call. Must be called once, on the executor.
     void start();
 
-    /// Tells the call that its instance stops and gives up open calls at a time. A call that waits for something other
-    /// than a free slot is refused, since other instances can serve it. May be called on any thread.
-    void instanceStops(Instant end);
+    /// Tells a call that its instance stops and gives up open calls at a time. A call that waits chooses again at once.
+    /// May be called on any thread; the reference is passed on, since sessions end on their executor only.
+    static void instanceStops(std::shared_ptr<EntrySession> session, Instant end);
 
-    /// Ends the call with its final answer, unless it has ended. May be called on any thread.
-    void giveUp();
+    /// Ends a call with its final answer, unless it has ended. May be called on any thread, as above.
+    static void giveUp(std::shared_ptr<EntrySession> session);
 
 private:
     void feed(pomeloport::FlowEvent event);
--- a/src/libpomeloentry/groupreservation.cpp
+++ b/src/libpomeloentry/groupreservation.cpp
@@ -114,7 +114,7 @@
 {
     const auto now = steadyNow();
     const auto &work = m_request.work;
-    if (!m_core->placement.canFinish(work, now)) {
+    if (work.stopsAt) {
         const Failure failure{
             Verdict::NotRun, ReasonCode::Stopping, "this instance stops before memory is free", RetryElsewhereDelay};
         std::exchange(m_completion, nullptr)(failure);
@@ -141,6 +141,11 @@
     });
 }
 
+void GroupReservation::instanceStops(Instant end)
+{
+    m_request.work.stopsAt = end;
+}
+
 void GroupReservation::answered()
 {
     if (m_tickets) {
--- a/src/libpomeloentry/groupreservation.h
+++ b/src/libpomeloentry/groupreservation.h
@@ -51,6 +51,9 @@
 
     void start();
 
+    /// Records that the instance stops: a plan that can't be complete by then, or that an engine refuses, is the last.
+    void instanceStops(Instant end);
+
     /// Records that the first event of the answer has come.
     void answered();
 
--- a/src/libpomeloentry/stopplan.cpp
+++ b/src/libpomeloentry/stopplan.cpp
@@ -19,6 +19,7 @@
 
 StopPlan::StopPlan(Instant begin, Duration gracePeriod, Duration addressLifetime)
     : m_end(begin + std::max(gracePeriod - ExitMargin, Duration::zero()))
+    , m_exitAt(begin + std::max(gracePeriod - ExitMargin + FinalAnswerTime, Duration::zero()))
     , m_idleExitAt(std::min(begin + addressLifetime * AddressLifetimesInUse, m_end))
 {
 }
@@ -26,6 +27,7 @@
 void StopPlan::endNow(Instant now)
 {
     m_end = std::min(m_end, now);
+    m_exitAt = std::min(m_exitAt, now + FinalAnswerTime);
     m_idleExitAt = std::min(m_idleExitAt, m_end);
 }
 
@@ -36,7 +38,7 @@
 
 StopStep StopPlan::step(Instant now, std::uint64_t open) const
 {
-    if ((open == 0 && now >= m_idleExitAt) || now >= m_end + FinalAnswerTime) {
+    if ((open == 0 && now >= m_idleExitAt) || now >= m_exitAt) {
         return StopStep::Exit;
     }
     return now >= m_end ? StopStep::GiveUp : StopStep::Serve;
--- a/src/libpomeloport/coordination/flowcontext.cpp
+++ b/src/libpomeloport/coordination/flowcontext.cpp
@@ -127,10 +127,20 @@
     }
 }
 
+RouteQuery FlowContext::routeQuery() const
+{
+    RouteQuery query;
+    query.request = &m_spec;
+    query.attempt = static_cast<std::uint32_t>(m_routes.size()) + 1;
+    query.avoid = m_avoidedBackends;
+    query.answerBegun = m_answer.nextIndex() > 0;
+    return query;
+}
+
 void FlowContext::choose()
 {
     m_backingOff = false;
-    const RouteQuery query{&m_spec, static_cast<std::uint32_t>(m_routes.size()) + 1, m_avoidedBackends};
+    const auto query = routeQuery();
     const RouteDecision decision = m_chooser(query, m_now);
     std::visit([this](const auto &chosen) { apply(chosen); }, decision);
 }
@@ -238,7 +248,8 @@
 /// may merely be slow, so the attempt is not given up for a wait. Returns whether the request was moved.
 bool FlowContext::replaceStalledAttempt()
 {
-    RouteQuery query{&m_spec, static_cast<std::uint32_t>(m_routes.size()) + 1, m_avoidedBackends, false};
+    auto query = routeQuery();
+    query.mayWait = false;
     query.avoid.push_back(currentBackend());
     const RouteDecision decision = m_chooser(query, m_now);
     const auto *route = std::get_if<Route>(&decision);
--- a/src/libpomeloport/coordination/flowcontext.h
+++ b/src/libpomeloport/coordination/flowcontext.h
@@ -101,6 +101,7 @@
         m_actions.emplace_back(std::move(action));
     }
 
+    RouteQuery routeQuery() const;
     void apply(const Route &route);
     void apply(const NeedsGroup &need);
     void apply(const WaitUntil &wait);
