Treat an unframed stream without events as broken off

Callers got 200 and an empty, complete stream when an engine sent the head of an answer without a length or chunks and exited before the first event. Such an answer ends with its connection, so its framing calls it complete whatever is missing; only a part of an event at the end showed that it had been broken off.

CallStream now says whether framing marked the end. A stream that ended with its connection and had no event in this attempt is broken: it is resumed or repeated as its route permits, else answered 502. A stream with framing and without events stays complete, since a resumed one may have none left.

--- a/src/include/pomeloport/transport/callstream.h
+++ b/src/include/pomeloport/transport/callstream.h
@@ -51,9 +51,12 @@
 {
 };
 
-/// The response is complete according to its framing. No event follows.
+/// The response is complete. No event follows.
 struct End
 {
+    /// Whether a length or chunks marked the end. Otherwise the response ended with its connection, so a server that
+    /// exits in the middle of it leaves the same trace as one that has sent all.
+    bool framed = true;
 };
 
 /// The response was truncated or malformed. No event follows.
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -553,7 +553,7 @@
 {
 }
 
-void EntrySession::onStreamEvent(callevent::End & /*event*/)
+void EntrySession::onStreamEvent(callevent::End &event)
 {
     const auto status = m_attempt.head.status;
     if (isStreaming()) {
@@ -561,6 +561,11 @@
             failAttempt("the stream ended inside an event");
             return;
         }
+        // A stream that is resumed may have no events left, but only its framing can say so.
+        if (!event.framed && !m_attempt.answered) {
+            failAttempt("the stream ended with its connection before its first event");
+            return;
+        }
         feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
         return;
     }
--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -352,13 +352,14 @@
     /// Handles a response that is complete according to its HTTP framing.
     void complete()
     {
+        const bool framed = !m_parser->need_eof();
         const auto keepAlive = keepAliveTimeout(m_parser->head().fields);
         const bool reusable = m_parser->keep_alive() && m_bufferedBytes == 0 && !m_writing;
         if (reusable) {
             m_pool->release(m_call.address, std::move(m_socket), keepAlive);
         }
         closeSocket();
-        emit(callevent::End{});
+        emit(callevent::End{framed});
         m_listener = nullptr;
     }
 
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -159,9 +159,9 @@
     {
         m_events += event.bytes;
     }
-    void record(const callevent::End & /*event*/)
+    void record(const callevent::End &event)
     {
-        end(" end");
+        end(event.framed ? " end" : " end with the connection");
     }
     void record(const callevent::Broken & /*event*/)
     {
@@ -213,7 +213,8 @@
         ScriptedServer server({text});
         return caller.call(server.address(), "1");
     };
-    CHECK(callOnce("HTTP/1.1 200 OK\r\n\r\nuntil the end") == "200 until the end end");
+    CHECK(callOnce("HTTP/1.1 200 OK\r\n\r\nuntil the end") == "200 until the end end with the connection");
+    CHECK(callOnce("HTTP/1.1 200 OK\r\n\r\n") == "200  end with the connection");
     CHECK(callOnce("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort") == "200 short broken");
     CHECK(callOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n") == "200 abc broken");
     CHECK(callOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n") == "200 abc end");
