Decide which prompts crash engines: first version

Callers saw prompts of one kind crash one engine after the other, since each instance sent them on and on. PromptQuarantine pools the crashes by prompt part and engine incarnation and quarantines a part at its third independent crash.

--- /dev/null
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -0,0 +1,614 @@
+#include "pomeloentry/promptquarantine.h"
+
+#include <limits>
+#include <tuple>
+
+namespace pomeloentry
+{
+
+using pomeloport::Duration;
+using pomeloport::Instant;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// Crashes kept for each part; the latest are kept.
+constexpr std::size_t MaximumCrashes = 32;
+/// Times of answers kept, so that settings cannot make them many.
+constexpr std::size_t MaximumLifeSigns = 1024;
+/// Share of its lifetime for which evidence is told to others. It ends early, since an entry that the last instance to
+/// hold it could still tell to one that has already dropped it would never vanish.
+constexpr int ToldShare = 2;
+
+std::uint32_t milliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/// Takes entries off a set while there is room in a report; add returns whether it has added one.
+template<class Set, class Add>
+void drain(Set &pending, std::size_t &room, Add add)
+{
+    while (room > 0 && !pending.empty()) {
+        room -= add(*pending.begin()) ? 1 : 0;
+        pending.erase(pending.begin());
+    }
+}
+
+} // namespace
+
+PromptQuarantine::PromptQuarantine(const QuarantineLimits &limits)
+    : m_limits(limits)
+    , m_answers(limits.maximumParts)
+    , m_alive(limits.maximumEngines)
+{
+}
+
+PromptQuarantine::Changes PromptQuarantine::crashed(std::uint32_t engine,
+                                                    const std::vector<PromptPart> &parts,
+                                                    Instant now)
+{
+    const auto before = quarantinedParts();
+    expire(now);
+    for (const auto part : parts) {
+        if (record(part, engine, now, now)) {
+            m_newCrashes.emplace(part, engine);
+        }
+    }
+    diagnose();
+    return changesSince(before);
+}
+
+PromptQuarantine::Changes PromptQuarantine::answered(std::uint32_t engine,
+                                                     const std::vector<PromptPart> &parts,
+                                                     Instant startedAt,
+                                                     Instant now)
+{
+    const auto before = quarantinedParts();
+    recordLifeSign(now);
+    m_alive.record(engine, startedAt);
+    if (withdraw(engine, startedAt)) {
+        m_withdrawn[engine] = startedAt;
+        m_newAlive.insert(engine);
+    }
+    for (const auto id : parts) {
+        m_answers.record(id, now);
+        const auto found = m_parts.find(id);
+        if (found == m_parts.end()) {
+            continue;
+        }
+        if (found->second.quarantine || !evidence(found->second).empty()) {
+            clearHere(id, found->second, now);
+        } else {
+            clear(found->second, now);
+        }
+    }
+    auto changes = changesSince(before);
+    if (!changes.released.empty()) {
+        diagnose();
+        changes = changesSince(before);
+    }
+    return changes;
+}
+
+PromptQuarantine::Ruling PromptQuarantine::rule(const std::vector<PromptPart> &parts, Instant now) const
+{
+    Ruling ruling;
+    for (const auto id : parts) {
+        const auto found = m_parts.find(id);
+        if (found == m_parts.end() || !found->second.quarantine) {
+            continue;
+        }
+        const auto wait = std::max(Duration{}, found->second.quarantine->trialAt - now);
+        if (ruling.treatment == Treatment::Serve || wait > ruling.trialIn) {
+            ruling = {wait > Duration{} ? Treatment::Refuse : Treatment::Try, id, wait};
+        }
+    }
+    return ruling;
+}
+
+void PromptQuarantine::begunTrial(PromptPart part, Instant now)
+{
+    const auto found = m_parts.find(part);
+    if (found == m_parts.end() || !found->second.quarantine) {
+        return;
+    }
+    auto &quarantine = *found->second.quarantine;
+    ++quarantine.trials;
+    quarantine.trialAt = now + trialInterval(quarantine.trials);
+    m_newQuarantines.insert(part);
+}
+
+bool PromptQuarantine::mayRepeat(const std::vector<PromptPart> &parts, Instant) const
+{
+    return std::ranges::none_of(parts, [this](PromptPart id) {
+        const auto found = m_parts.find(id);
+        if (found == m_parts.end()) {
+            return false;
+        }
+        const auto &part = found->second;
+        return part.quarantine || independent(evidence(part, explained(id, part))) >= m_limits.crashesBeforeRepeat;
+    });
+}
+
+QuarantineReport PromptQuarantine::takeChanges(Instant now)
+{
+    QuarantineReport report;
+    auto room = m_limits.maximumReported;
+    drain(m_newQuarantines, room, [&](PromptPart id) {
+        const auto found = m_parts.find(id);
+        if (found == m_parts.end() || !found->second.quarantine) {
+            return false;
+        }
+        report.quarantined.push_back(messageOf(id, *found->second.quarantine, now));
+        return true;
+    });
+    drain(m_newCleared, room, [&](PromptPart id) {
+        const auto found = m_parts.find(id);
+        if (found == m_parts.end() || !found->second.clearedHere) {
+            return false;
+        }
+        report.cleared.push_back({id, milliseconds(now - *found->second.clearedHere)});
+        return true;
+    });
+    drain(m_newAlive, room, [&](std::uint32_t engine) {
+        const auto startedAt = m_alive.latest(engine);
+        if (startedAt) {
+            report.alive.push_back({engine, milliseconds(now - *startedAt)});
+        }
+        return startedAt.has_value();
+    });
+    drain(m_newCrashes, room, [&](const std::pair<PromptPart, std::uint32_t> &crash) {
+        const auto part = m_parts.find(crash.first);
+        if (part == m_parts.end()) {
+            return false;
+        }
+        const auto found = part->second.crashes.find(crash.second);
+        if (found == part->second.crashes.end() || outdated(part->second, found->second)) {
+            return false;
+        }
+        report.crashes.push_back({crash.first, crash.second, milliseconds(now - found->second)});
+        return true;
+    });
+    return report;
+}
+
+QuarantineReport PromptQuarantine::fullReport(Instant now) const
+{
+    QuarantineReport report;
+    auto room = m_limits.maximumReported;
+    const auto told = [&](Instant at) {
+        return now - at < m_limits.evidenceLifetime / ToldShare;
+    };
+    std::vector<CrashMessage> crashes;
+    for (const auto &[id, part] : m_parts) {
+        if (part.quarantine && room > 0 && now - part.quarantine->trialAt < m_limits.longestTrialAfter / ToldShare) {
+            report.quarantined.push_back(messageOf(id, *part.quarantine, now));
+            --room;
+        }
+        for (const auto &[at, engine] : evidence(part)) {
+            if (told(at)) {
+                crashes.push_back({id, engine, milliseconds(now - at)});
+            }
+        }
+    }
+    std::ranges::stable_sort(crashes, {}, &CrashMessage::ageMs);
+    crashes.resize(std::min(crashes.size(), room));
+    room -= crashes.size();
+    report.crashes = std::move(crashes);
+    for (const auto &[engine, startedAt] : m_withdrawn) {
+        if (room > 0 && told(startedAt)) {
+            report.alive.push_back({engine, milliseconds(now - startedAt)});
+            --room;
+        }
+    }
+    for (const auto &[id, part] : m_parts) {
+        if (room > 0 && part.clearedHere && told(*part.clearedHere)) {
+            report.cleared.push_back({id, milliseconds(now - *part.clearedHere)});
+            --room;
+        }
+    }
+    return report;
+}
+
+PromptQuarantine::Changes PromptQuarantine::merge(const QuarantineReport &report, Instant now)
+{
+    const auto before = quarantinedParts();
+    if (!report.crashes.empty()) {
+        expire(now);
+    }
+    for (const auto &message : report.alive) {
+        mergeAlive(message, now);
+    }
+    for (const auto &message : report.cleared) {
+        mergeCleared(message, now);
+    }
+    for (const auto &message : report.quarantined) {
+        mergeQuarantine(message, now);
+    }
+    for (const auto &message : report.crashes) {
+        mergeCrash(message, now);
+    }
+    diagnose();
+    return changesSince(before);
+}
+
+void PromptQuarantine::expire(Instant now)
+{
+    const auto old = [&](Instant at, Duration lifetime) {
+        return now - at >= lifetime;
+    };
+    for (auto &[id, part] : m_parts) {
+        if (part.quarantine && old(part.quarantine->trialAt, m_limits.longestTrialAfter)) {
+            part.quarantine.reset();
+        }
+        if (!part.quarantine) {
+            std::erase_if(part.crashes,
+                          [&](const auto &crash) { return old(crash.second, m_limits.evidenceLifetime); });
+        }
+    }
+    // An answer is remembered longer, since an instance that was cut off may still report a quarantine that it ended.
+    std::erase_if(m_parts, [&](const auto &entry) {
+        const auto &part = entry.second;
+        return !part.quarantine && part.crashes.empty()
+            && (!part.clearedAt || old(*part.clearedAt, m_limits.longestTrialAfter));
+    });
+    std::erase_if(m_withdrawn, [&](const auto &entry) { return old(entry.second, m_limits.evidenceLifetime); });
+    m_suspected.clear();
+    for (const auto &entry : m_parts) {
+        for (const auto &crash : entry.second.crashes) {
+            m_suspected.insert(crash.first);
+        }
+    }
+}
+
+std::size_t PromptQuarantine::size() const
+{
+    auto count = m_parts.size() + m_answers.size() + m_alive.size() + m_suspected.size() + m_withdrawn.size()
+        + m_lifeSigns.size() + m_newCrashes.size() + m_newCleared.size() + m_newAlive.size() + m_newQuarantines.size();
+    for (const auto &entry : m_parts) {
+        count += entry.second.crashes.size();
+    }
+    return count;
+}
+
+PromptQuarantine::Part &PromptQuarantine::touch(PromptPart id, Instant now)
+{
+    if (!m_parts.contains(id)) {
+        if (m_parts.size() >= m_limits.maximumParts) {
+            dropOldestPart();
+        }
+        m_parts[id].clearedAt = m_answers.latest(id);
+    }
+    auto &part = m_parts[id];
+    part.touchedAt = std::max(part.touchedAt, now);
+    return part;
+}
+
+void PromptQuarantine::dropOldestPart()
+{
+    const auto oldest = std::ranges::min_element(m_parts, {}, [](const auto &entry) {
+        return std::pair(entry.second.quarantine.has_value(), entry.second.touchedAt);
+    });
+    if (oldest != m_parts.end()) {
+        m_parts.erase(oldest);
+    }
+}
+
+std::set<PromptPart> PromptQuarantine::quarantinedParts() const
+{
+    std::set<PromptPart> parts;
+    for (const auto &[id, part] : m_parts) {
+        if (part.quarantine) {
+            parts.insert(id);
+        }
+    }
+    return parts;
+}
+
+PromptQuarantine::Changes PromptQuarantine::changesSince(const std::set<PromptPart> &before) const
+{
+    Changes changes;
+    const auto after = quarantinedParts();
+    std::ranges::set_difference(after, before, std::back_inserter(changes.quarantined));
+    std::ranges::set_difference(before, after, std::back_inserter(changes.released));
+    return changes;
+}
+
+bool PromptQuarantine::outdated(const Part &part, Instant at) const
+{
+    return part.clearedAt && at <= *part.clearedAt + m_limits.simultaneous;
+}
+
+/// Returns whether this was new. Of several reports of the same crash the earliest time holds, since reports can only
+/// be late.
+bool PromptQuarantine::record(PromptPart id, std::uint32_t engine, Instant at, Instant now)
+{
+    if (const auto startedAt = m_alive.latest(engine); startedAt && *startedAt > at) {
+        return false;
+    }
+    auto &crashes = touch(id, now).crashes;
+    const auto [crash, added] = crashes.try_emplace(engine, at);
+    crash->second = std::min(crash->second, at);
+    m_suspected.insert(engine);
+    if (crashes.size() > MaximumCrashes) {
+        crashes.erase(std::ranges::min_element(
+            crashes, {}, [](const auto &entry) { return std::pair(entry.second, entry.first); }));
+    }
+    return added;
+}
+
+void PromptQuarantine::clear(Part &part, Instant at) const
+{
+    part.clearedAt = part.clearedAt ? std::max(*part.clearedAt, at) : at;
+    if (!part.quarantine || !outdated(part, part.quarantine->since)) {
+        return;
+    }
+    const auto remaining = evidence(part);
+    if (independent(remaining) >= m_limits.crashes) {
+        part.quarantine->since = remaining.front().at;
+    } else {
+        part.quarantine.reset();
+    }
+}
+
+void PromptQuarantine::clearHere(PromptPart id, Part &part, Instant at)
+{
+    part.clearedHere = part.clearedHere ? std::max(*part.clearedHere, at) : at;
+    m_newCleared.insert(id);
+    clear(part, at);
+}
+
+/// Drops crashes of an engine before an attempt that it answered. Returns whether there were any.
+bool PromptQuarantine::withdraw(std::uint32_t engine, Instant startedAt)
+{
+    if (!m_suspected.contains(engine)) {
+        return false;
+    }
+    bool any = false;
+    for (auto &[id, part] : m_parts) {
+        const auto crash = part.crashes.find(engine);
+        if (crash == part.crashes.end() || crash->second >= startedAt) {
+            continue;
+        }
+        any = true;
+        const bool enough = independent(evidence(part)) >= m_limits.crashes;
+        part.crashes.erase(crash);
+        // A quarantine is ended only by an instance that knew all its evidence.
+        if (part.quarantine && part.quarantine->trials == 0 && enough
+            && independent(evidence(part)) < m_limits.crashes) {
+            clearHere(id, part, part.quarantine->since);
+        }
+    }
+    return any;
+}
+
+void PromptQuarantine::recordLifeSign(Instant now)
+{
+    const auto count = m_lifeSigns.size();
+    if (count >= 2 && now - m_lifeSigns[count - 2] < m_limits.simultaneous) {
+        m_lifeSigns.back() = now;
+        return;
+    }
+    m_lifeSigns.push_back(now);
+    while (now - m_lifeSigns.front() > m_limits.evidenceLifetime || m_lifeSigns.size() > MaximumLifeSigns) {
+        m_lifeSigns.pop_front();
+    }
+}
+
+bool PromptQuarantine::anyAnswerWithin(const Evidence &evidence) const
+{
+    const auto after = std::ranges::upper_bound(m_lifeSigns, evidence.front().at);
+    return after != m_lifeSigns.end() && *after < evidence.back().at;
+}
+
+/// The crashes that count against a part, by time.
+PromptQuarantine::Evidence PromptQuarantine::evidence(const Part &part, const Engines &except) const
+{
+    Evidence result;
+    for (const auto &[engine, at] : part.crashes) {
+        if (!outdated(part, at) && !except.contains(engine)) {
+            result.push_back({at, engine});
+        }
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+std::size_t PromptQuarantine::independent(const Evidence &evidence) const
+{
+    std::size_t count = 0;
+    Instant last{};
+    for (const auto &crash : evidence) {
+        if (count == 0 || crash.at - last > m_limits.simultaneous) {
+            ++count;
+            last = crash.at;
+        }
+    }
+    return count;
+}
+
+/// Engines whose crash a quarantined part explains, so that another part is not charged with it. A part with more
+/// crashes than a quarantined one is not explained by it, unless a trial has confirmed that one or this instance knows
+/// too little of its evidence to compare.
+PromptQuarantine::Engines PromptQuarantine::explained(PromptPart id, const Part &part) const
+{
+    Engines engines;
+    const auto crashes = independent(evidence(part));
+    for (const auto &[otherId, other] : m_parts) {
+        if (otherId == id || !other.quarantine) {
+            continue;
+        }
+        const auto others = evidence(other);
+        const auto count = independent(others);
+        if (other.quarantine->trials > 0 || count < m_limits.crashes || count >= crashes) {
+            for (const auto &crash : others) {
+                engines.insert(crash.engine);
+            }
+        }
+    }
+    return engines;
+}
+
+/// Parts with enough crashes for a quarantine, the strongest suspicion first.
+std::vector<PromptQuarantine::Suspect> PromptQuarantine::suspects() const
+{
+    std::vector<Suspect> result;
+    for (const auto &[id, part] : m_parts) {
+        if (part.quarantine || independent(evidence(part)) < m_limits.crashes) {
+            continue;
+        }
+        auto unexplained = evidence(part, explained(id, part));
+        const auto crashes = independent(unexplained);
+        if (crashes >= m_limits.crashes && anyAnswerWithin(unexplained)) {
+            result.push_back({id, crashes, !part.clearedAt, std::move(unexplained)});
+        }
+    }
+    std::ranges::stable_sort(result, std::greater{}, [](const Suspect &suspect) {
+        return std::pair(suspect.crashes, suspect.neverAnswered);
+    });
+    return result;
+}
+
+/// The part to quarantine next, or several that nothing distinguishes. Those wait for one more crash, which is likely
+/// to distinguish them.
+std::vector<PromptQuarantine::Suspect> PromptQuarantine::strongest() const
+{
+    auto left = suspects();
+    while (!left.empty()) {
+        const auto &first = left.front();
+        const auto rivals = [&](const Suspect &other) {
+            return other.crashes == first.crashes && other.neverAnswered == first.neverAnswered
+                && std::ranges::any_of(other.evidence, [&](const Crash &crash) {
+                       return std::ranges::find(first.evidence, crash.engine, &Crash::engine) != first.evidence.end();
+                   });
+        };
+        std::vector<Suspect> tied;
+        std::ranges::copy_if(left, std::back_inserter(tied), rivals);
+        if (tied.size() == 1 || first.crashes > m_limits.crashes) {
+            return tied;
+        }
+        std::erase_if(left, [&](const Suspect &other) {
+            return std::ranges::find(tied, other.part, &Suspect::part) != tied.end();
+        });
+    }
+    return {};
+}
+
+void PromptQuarantine::convict(const Suspect &suspect)
+{
+    auto &part = m_parts.at(suspect.part);
+    part.quarantine = {suspect.evidence.front().at, suspect.evidence.back().at + m_limits.firstTrialAfter, 0};
+    m_newQuarantines.insert(suspect.part);
+}
+
+/// Releases parts whose crashes another quarantined part explains better.
+void PromptQuarantine::releaseExplained()
+{
+    for (auto &[id, part] : m_parts) {
+        if (!part.quarantine || part.quarantine->trials > 0) {
+            continue;
+        }
+        const auto own = evidence(part);
+        const auto crashes = independent(own);
+        if (crashes < m_limits.crashes) {
+            continue;
+        }
+        for (const auto &[otherId, other] : m_parts) {
+            if (otherId == id || !other.quarantine || independent(evidence(other)) <= crashes) {
+                continue;
+            }
+            const auto unexplained =
+                std::ranges::count_if(own, [&](const Crash &crash) { return !other.crashes.contains(crash.engine); });
+            if (unexplained == 0) {
+                clearHere(id, part, own.back().at);
+                break;
+            }
+        }
+    }
+}
+
+void PromptQuarantine::diagnose()
+{
+    for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
+        for (const auto &suspect : tied) {
+            convict(suspect);
+        }
+    }
+    releaseExplained();
+}
+
+void PromptQuarantine::mergeCrash(const CrashMessage &message, Instant now)
+{
+    const auto age = std::chrono::milliseconds(message.ageMs);
+    if (age >= m_limits.evidenceLifetime) {
+        return;
+    }
+    const auto at = now - age;
+    if (const auto startedAt = m_alive.latest(message.engine); startedAt && *startedAt > at) {
+        m_newAlive.insert(message.engine);
+        m_withdrawn[message.engine] = *startedAt;
+        return;
+    }
+    record(message.part, message.engine, at, now);
+    auto &part = m_parts.at(message.part);
+    const auto answered = m_answers.latest(message.part);
+    if (outdated(part, at) && answered && (!part.clearedHere || *part.clearedHere < *answered)) {
+        clearHere(message.part, part, *answered);
+    }
+}
+
+void PromptQuarantine::mergeCleared(const ClearedMessage &message, Instant now)
+{
+    const auto age = std::chrono::milliseconds(message.ageMs);
+    if (age < m_limits.evidenceLifetime) {
+        clear(touch(message.part, now), now - age);
+    }
+}
+
+void PromptQuarantine::mergeAlive(const AliveMessage &message, Instant now)
+{
+    const auto startedAt = now - std::chrono::milliseconds(message.ageMs);
+    m_alive.record(message.engine, startedAt);
+    withdraw(message.engine, startedAt);
+}
+
+void PromptQuarantine::mergeQuarantine(const QuarantineMessage &message, Instant now)
+{
+    const auto since = now - std::chrono::milliseconds(message.ageMs);
+    const auto trialAt = now + std::chrono::milliseconds(message.trialInMs);
+    auto &part = touch(message.part, now);
+    if (outdated(part, since)) {
+        return;
+    }
+    if (!part.quarantine) {
+        part.quarantine = {since, trialAt, message.trials};
+        return;
+    }
+    auto &own = *part.quarantine;
+    own.since = std::min(own.since, since);
+    // The same trial may be reported late, but not early.
+    own.trialAt = message.trials > own.trials ? trialAt
+        : message.trials < own.trials         ? own.trialAt
+                                              : std::min(own.trialAt, trialAt);
+    own.trials = std::max(own.trials, message.trials);
+}
+
+Duration PromptQuarantine::trialInterval(std::uint32_t trials) const
+{
+    auto interval = m_limits.firstTrialAfter;
+    for (std::uint32_t doubled = 0; doubled < trials && interval < m_limits.longestTrialAfter; ++doubled) {
+        interval *= 2;
+    }
+    return std::min(interval, m_limits.longestTrialAfter);
+}
+
+QuarantineMessage PromptQuarantine::messageOf(PromptPart id, const Quarantine &quarantine, Instant now) const
+{
+    return {id, milliseconds(now - quarantine.since), milliseconds(quarantine.trialAt - now), quarantine.trials};
+}
+
+} // namespace pomeloentry
