Judge crashes of engines once their reports are complete

Judged at once, a sound part whose prompt was reported before the crashing one was quarantined for the third crash. Evidence is now judged 50 ms after it arrived, by the next call that records or merges anything. Engines of withdrawn crashes, late answers and all tables are bounded.

Tests replay the load of a small and a large site on virtual time.

--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -33,7 +33,10 @@
     /// Crashes within this time of each other count as one, since a loss of power or a network cut ends many engines at
     /// the same time. Also the error assumed in times that other instances report: a crash so soon after an answer is
     /// taken to have come before it.
-    Duration simultaneous = std::chrono::milliseconds(100);
+    Duration simultaneous = std::chrono::milliseconds(50);
+    /// Evidence is judged this long after it arrived, since the prompts that an engine had are reported one by one and
+    /// by several instances. It is judged by the next call that records or merges anything.
+    Duration settle = std::chrono::milliseconds(50);
     /// A crash counts as evidence for this long.
     Duration evidenceLifetime = std::chrono::seconds(60);
     /// Time until one prompt with a quarantined part is tried again, which doubles with each failed trial.
@@ -176,8 +179,8 @@
 /// Collects crashes of engines by prompt part, of this instance and of others. A part is quarantined when engines keep
 /// crashing before the first event of an answer and no prompt with the part is answered in between. Parts that sound
 /// prompts share are cleared by the answers to those. Of several parts that the same crashes may be due to, the one
-/// with the most crashes is quarantined, and the others are not charged with them. Nothing is quarantined while no
-/// engine answers at all, so there is one object for each service with engines of its own. Not thread safe.
+/// with the most crashes is quarantined, and the others are not charged with them. Nothing is quarantined by crashes
+/// between which no engine answered any prompt, since then more than single engines is lost. Not thread safe.
 class PromptQuarantine
 {
 public:
@@ -231,7 +234,7 @@
     /// Applies a report of another instance.
     Changes merge(const QuarantineReport &report, Instant now);
 
-    /// Drops evidence that is too old.
+    /// Drops evidence that is too old; to be called every few seconds.
     void expire(Instant now);
 
     /// Number of entries in memory, over all tables.
@@ -283,9 +286,10 @@
 
     bool outdated(const Part &part, Instant at) const;
     bool record(PromptPart id, std::uint32_t engine, Instant at, Instant now);
-    void clear(Part &part, Instant at) const;
+    void clear(Part &part, Instant at);
     void clearHere(PromptPart id, Part &part, Instant at);
     bool withdraw(std::uint32_t engine, Instant startedAt);
+    void tellAlive(std::uint32_t engine, Instant startedAt);
     void recordLifeSign(Instant now);
     bool anyAnswerWithin(const Evidence &evidence) const;
 
@@ -295,8 +299,9 @@
     std::vector<Suspect> suspects() const;
     std::vector<Suspect> strongest() const;
     void convict(const Suspect &suspect);
-    void releaseExplained();
-    void diagnose();
+    bool explainedByStronger(PromptPart id, const Part &part) const;
+    bool releaseExplained();
+    void judge(Instant now);
 
     void mergeCrash(const CrashMessage &message, Instant now);
     void mergeCleared(const ClearedMessage &message, Instant now);
@@ -309,8 +314,8 @@
     std::map<PromptPart, Part> m_parts;
     detail::RecentTimes<PromptPart> m_answers;
     detail::RecentTimes<std::uint32_t> m_alive;
-    /// Engines with evidence.
-    Engines m_suspected;
+    /// Time at which the earliest evidence arrived that was not judged yet.
+    std::optional<Instant> m_unjudgedSince;
     /// Engines whose crash this instance found not to have happened, with the time of its proof.
     std::map<std::uint32_t, Instant> m_withdrawn;
     /// Times of answers by any engine, not closer to each other than simultaneous crashes.
--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -1,7 +1,9 @@
 #include "pomeloentry/promptquarantine.h"
 
+#include <functional>
+#include <iterator>
 #include <limits>
-#include <tuple>
+#include <ranges>
 
 namespace pomeloentry
 {
@@ -38,6 +40,15 @@
     }
 }
 
+/// Drops entries beyond a maximum.
+template<class Container>
+void limit(Container &container, std::size_t maximum)
+{
+    while (container.size() > maximum) {
+        container.erase(container.begin());
+    }
+}
+
 } // namespace
 
 PromptQuarantine::PromptQuarantine(const QuarantineLimits &limits)
@@ -52,13 +63,13 @@
                                                     Instant now)
 {
     const auto before = quarantinedParts();
-    expire(now);
     for (const auto part : parts) {
         if (record(part, engine, now, now)) {
             m_newCrashes.emplace(part, engine);
+            limit(m_newCrashes, m_limits.maximumParts);
         }
     }
-    diagnose();
+    judge(now);
     return changesSince(before);
 }
 
@@ -71,8 +82,7 @@
     recordLifeSign(now);
     m_alive.record(engine, startedAt);
     if (withdraw(engine, startedAt)) {
-        m_withdrawn[engine] = startedAt;
-        m_newAlive.insert(engine);
+        tellAlive(engine, startedAt);
     }
     for (const auto id : parts) {
         m_answers.record(id, now);
@@ -86,12 +96,8 @@
             clear(found->second, now);
         }
     }
-    auto changes = changesSince(before);
-    if (!changes.released.empty()) {
-        diagnose();
-        changes = changesSince(before);
-    }
-    return changes;
+    judge(now);
+    return changesSince(before);
 }
 
 PromptQuarantine::Ruling PromptQuarantine::rule(const std::vector<PromptPart> &parts, Instant now) const
@@ -217,9 +223,6 @@
 PromptQuarantine::Changes PromptQuarantine::merge(const QuarantineReport &report, Instant now)
 {
     const auto before = quarantinedParts();
-    if (!report.crashes.empty()) {
-        expire(now);
-    }
     for (const auto &message : report.alive) {
         mergeAlive(message, now);
     }
@@ -232,7 +235,7 @@
     for (const auto &message : report.crashes) {
         mergeCrash(message, now);
     }
-    diagnose();
+    judge(now);
     return changesSince(before);
 }
 
@@ -257,18 +260,12 @@
             && (!part.clearedAt || old(*part.clearedAt, m_limits.longestTrialAfter));
     });
     std::erase_if(m_withdrawn, [&](const auto &entry) { return old(entry.second, m_limits.evidenceLifetime); });
-    m_suspected.clear();
-    for (const auto &entry : m_parts) {
-        for (const auto &crash : entry.second.crashes) {
-            m_suspected.insert(crash.first);
-        }
-    }
 }
 
 std::size_t PromptQuarantine::size() const
 {
-    auto count = m_parts.size() + m_answers.size() + m_alive.size() + m_suspected.size() + m_withdrawn.size()
-        + m_lifeSigns.size() + m_newCrashes.size() + m_newCleared.size() + m_newAlive.size() + m_newQuarantines.size();
+    auto count = m_parts.size() + m_answers.size() + m_alive.size() + m_withdrawn.size() + m_lifeSigns.size()
+        + m_newCrashes.size() + m_newCleared.size() + m_newAlive.size() + m_newQuarantines.size();
     for (const auto &entry : m_parts) {
         count += entry.second.crashes.size();
     }
@@ -333,7 +330,9 @@
     auto &crashes = touch(id, now).crashes;
     const auto [crash, added] = crashes.try_emplace(engine, at);
     crash->second = std::min(crash->second, at);
-    m_suspected.insert(engine);
+    if (added) {
+        m_unjudgedSince = m_unjudgedSince.value_or(now);
+    }
     if (crashes.size() > MaximumCrashes) {
         crashes.erase(std::ranges::min_element(
             crashes, {}, [](const auto &entry) { return std::pair(entry.second, entry.first); }));
@@ -341,7 +340,7 @@
     return added;
 }
 
-void PromptQuarantine::clear(Part &part, Instant at) const
+void PromptQuarantine::clear(Part &part, Instant at)
 {
     part.clearedAt = part.clearedAt ? std::max(*part.clearedAt, at) : at;
     if (!part.quarantine || !outdated(part, part.quarantine->since)) {
@@ -352,6 +351,8 @@
         part.quarantine->since = remaining.front().at;
     } else {
         part.quarantine.reset();
+        // What it explained may now be due to others.
+        m_unjudgedSince = m_unjudgedSince.value_or(at);
     }
 }
 
@@ -359,15 +360,13 @@
 {
     part.clearedHere = part.clearedHere ? std::max(*part.clearedHere, at) : at;
     m_newCleared.insert(id);
+    limit(m_newCleared, m_limits.maximumParts);
     clear(part, at);
 }
 
 /// Drops crashes of an engine before an attempt that it answered. Returns whether there were any.
 bool PromptQuarantine::withdraw(std::uint32_t engine, Instant startedAt)
 {
-    if (!m_suspected.contains(engine)) {
-        return false;
-    }
     bool any = false;
     for (auto &[id, part] : m_parts) {
         const auto crash = part.crashes.find(engine);
@@ -386,6 +385,14 @@
     return any;
 }
 
+void PromptQuarantine::tellAlive(std::uint32_t engine, Instant startedAt)
+{
+    m_withdrawn[engine] = startedAt;
+    m_newAlive.insert(engine);
+    limit(m_withdrawn, m_limits.maximumParts);
+    limit(m_newAlive, m_limits.maximumParts);
+}
+
 void PromptQuarantine::recordLifeSign(Instant now)
 {
     const auto count = m_lifeSigns.size();
@@ -458,7 +465,8 @@
 {
     std::vector<Suspect> result;
     for (const auto &[id, part] : m_parts) {
-        if (part.quarantine || independent(evidence(part)) < m_limits.crashes) {
+        if (part.quarantine || part.crashes.size() < m_limits.crashes
+            || independent(evidence(part)) < m_limits.crashes) {
             continue;
         }
         auto unexplained = evidence(part, explained(id, part));
@@ -503,42 +511,56 @@
     auto &part = m_parts.at(suspect.part);
     part.quarantine = {suspect.evidence.front().at, suspect.evidence.back().at + m_limits.firstTrialAfter, 0};
     m_newQuarantines.insert(suspect.part);
+    limit(m_newQuarantines, m_limits.maximumParts);
 }
 
-/// Releases parts whose crashes another quarantined part explains better.
-void PromptQuarantine::releaseExplained()
+/// Whether another quarantined part has more crashes and they include those of this one. A single other crash does not
+/// matter, since engines are lost for other reasons too.
+bool PromptQuarantine::explainedByStronger(PromptPart id, const Part &part) const
 {
-    for (auto &[id, part] : m_parts) {
-        if (!part.quarantine || part.quarantine->trials > 0) {
-            continue;
+    const auto own = evidence(part);
+    const auto crashes = independent(own);
+    return std::ranges::any_of(m_parts, [&](const auto &entry) {
+        const auto &[otherId, other] = entry;
+        if (otherId == id || !other.quarantine || independent(evidence(other)) <= crashes) {
+            return false;
         }
-        const auto own = evidence(part);
-        const auto crashes = independent(own);
-        if (crashes < m_limits.crashes) {
+        Engines engines;
+        std::ranges::copy(std::views::keys(other.crashes), std::inserter(engines, engines.end()));
+        return independent(evidence(part, engines)) <= 1;
+    });
+}
+
+/// Releases parts whose crashes another quarantined part explains better. Returns whether there were any. Parts of
+/// whose evidence this instance knows too little are left to others.
+bool PromptQuarantine::releaseExplained()
+{
+    bool any = false;
+    for (auto &[id, part] : m_parts) {
+        if (!part.quarantine || part.quarantine->trials > 0 || independent(evidence(part)) < m_limits.crashes
+            || !explainedByStronger(id, part)) {
             continue;
         }
-        for (const auto &[otherId, other] : m_parts) {
-            if (otherId == id || !other.quarantine || independent(evidence(other)) <= crashes) {
-                continue;
-            }
-            const auto unexplained =
-                std::ranges::count_if(own, [&](const Crash &crash) { return !other.crashes.contains(crash.engine); });
-            if (unexplained == 0) {
-                clearHere(id, part, own.back().at);
-                break;
-            }
-        }
+        clearHere(id, part, evidence(part).back().at);
+        any = true;
     }
+    return any;
 }
 
-void PromptQuarantine::diagnose()
+/// Quarantines and releases parts by the evidence, once new evidence is complete.
+void PromptQuarantine::judge(Instant now)
 {
-    for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
-        for (const auto &suspect : tied) {
-            convict(suspect);
-        }
+    if (!m_unjudgedSince || now - *m_unjudgedSince < m_limits.settle) {
+        return;
     }
-    releaseExplained();
+    m_unjudgedSince.reset();
+    do {
+        for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
+            for (const auto &suspect : tied) {
+                convict(suspect);
+            }
+        }
+    } while (releaseExplained());
 }
 
 void PromptQuarantine::mergeCrash(const CrashMessage &message, Instant now)
@@ -549,8 +571,7 @@
     }
     const auto at = now - age;
     if (const auto startedAt = m_alive.latest(message.engine); startedAt && *startedAt > at) {
-        m_newAlive.insert(message.engine);
-        m_withdrawn[message.engine] = *startedAt;
+        tellAlive(message.engine, *startedAt);
         return;
     }
     record(message.part, message.engine, at, now);
@@ -564,7 +585,7 @@
 void PromptQuarantine::mergeCleared(const ClearedMessage &message, Instant now)
 {
     const auto age = std::chrono::milliseconds(message.ageMs);
-    if (age < m_limits.evidenceLifetime) {
+    if (age < m_limits.evidenceLifetime || m_parts.contains(message.part)) {
         clear(touch(message.part, now), now - age);
     }
 }
@@ -582,6 +603,10 @@
     const auto trialAt = now + std::chrono::milliseconds(message.trialInMs);
     auto &part = touch(message.part, now);
     if (outdated(part, since)) {
+        if (part.clearedHere) {
+            m_newCleared.insert(message.part);
+            limit(m_newCleared, m_limits.maximumParts);
+        }
         return;
     }
     if (!part.quarantine) {
