--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -34,7 +34,7 @@
     /// the same time. Also the error assumed in times that other instances report: a crash so soon after an answer is
     /// taken to have come before it.
     Duration simultaneous = std::chrono::milliseconds(50);
-    /// Evidence is judged this long after it arrived, since the prompts that an engine had are reported one by one and
+    /// A crash is judged once it is this old, since the prompts that an engine had are reported one by one and
     /// by several instances. It is judged by the next call that records or merges anything.
     Duration settle = std::chrono::milliseconds(50);
     /// A crash counts as evidence for this long.
@@ -294,6 +294,7 @@
     bool anyAnswerWithin(const Evidence &evidence) const;
 
     Evidence evidence(const Part &part, const Engines &except = {}) const;
+    Evidence judged(const Part &part, const Engines &except = {}) const;
     std::size_t independent(const Evidence &evidence) const;
     Engines explained(PromptPart id, const Part &part) const;
     std::vector<Suspect> suspects() const;
@@ -314,8 +315,10 @@
     std::map<PromptPart, Part> m_parts;
     detail::RecentTimes<PromptPart> m_answers;
     detail::RecentTimes<std::uint32_t> m_alive;
-    /// Time at which the earliest evidence arrived that was not judged yet.
-    std::optional<Instant> m_unjudgedSince;
+    /// Whether there is evidence that was not judged, the time of the latest crash, and until when crashes are judged.
+    bool m_unjudged = false;
+    Instant m_latestCrash{};
+    Instant m_judgedUntil{};
     /// Engines whose crash this instance found not to have happened, with the time of its proof.
     std::map<std::uint32_t, Instant> m_withdrawn;
     /// Times of answers by any engine, not closer to each other than simultaneous crashes.
--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -3,7 +3,6 @@
 #include <functional>
 #include <iterator>
 #include <limits>
-#include <ranges>
 
 namespace pomeloentry
 {
@@ -330,9 +329,8 @@
     auto &crashes = touch(id, now).crashes;
     const auto [crash, added] = crashes.try_emplace(engine, at);
     crash->second = std::min(crash->second, at);
-    if (added) {
-        m_unjudgedSince = m_unjudgedSince.value_or(now);
-    }
+    m_unjudged = m_unjudged || added;
+    m_latestCrash = std::max(m_latestCrash, at);
     if (crashes.size() > MaximumCrashes) {
         crashes.erase(std::ranges::min_element(
             crashes, {}, [](const auto &entry) { return std::pair(entry.second, entry.first); }));
@@ -352,7 +350,7 @@
     } else {
         part.quarantine.reset();
         // What it explained may now be due to others.
-        m_unjudgedSince = m_unjudgedSince.value_or(at);
+        m_unjudged = true;
     }
 }
 
@@ -425,6 +423,14 @@
     return result;
 }
 
+/// The same without those that are too recent to be judged.
+PromptQuarantine::Evidence PromptQuarantine::judged(const Part &part, const Engines &except) const
+{
+    auto result = evidence(part, except);
+    std::erase_if(result, [this](const Crash &crash) { return crash.at > m_judgedUntil; });
+    return result;
+}
+
 std::size_t PromptQuarantine::independent(const Evidence &evidence) const
 {
     std::size_t count = 0;
@@ -465,11 +471,10 @@
 {
     std::vector<Suspect> result;
     for (const auto &[id, part] : m_parts) {
-        if (part.quarantine || part.crashes.size() < m_limits.crashes
-            || independent(evidence(part)) < m_limits.crashes) {
+        if (part.quarantine || part.crashes.size() < m_limits.crashes || independent(judged(part)) < m_limits.crashes) {
             continue;
         }
-        auto unexplained = evidence(part, explained(id, part));
+        auto unexplained = judged(part, explained(id, part));
         const auto crashes = independent(unexplained);
         if (crashes >= m_limits.crashes && anyAnswerWithin(unexplained)) {
             result.push_back({id, crashes, !part.clearedAt, std::move(unexplained)});
@@ -518,17 +523,20 @@
 /// matter, since engines are lost for other reasons too.
 bool PromptQuarantine::explainedByStronger(PromptPart id, const Part &part) const
 {
-    const auto own = evidence(part);
-    const auto crashes = independent(own);
-    return std::ranges::any_of(m_parts, [&](const auto &entry) {
-        const auto &[otherId, other] = entry;
-        if (otherId == id || !other.quarantine || independent(evidence(other)) <= crashes) {
-            return false;
+    const auto crashes = independent(judged(part));
+    for (const auto &[otherId, other] : m_parts) {
+        if (otherId == id || !other.quarantine || independent(judged(other)) <= crashes) {
+            continue;
         }
         Engines engines;
-        std::ranges::copy(std::views::keys(other.crashes), std::inserter(engines, engines.end()));
-        return independent(evidence(part, engines)) <= 1;
-    });
+        for (const auto &crash : other.crashes) {
+            engines.insert(crash.first);
+        }
+        if (independent(judged(part, engines)) <= 1) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /// Releases parts whose crashes another quarantined part explains better. Returns whether there were any. Parts of
@@ -537,7 +545,7 @@
 {
     bool any = false;
     for (auto &[id, part] : m_parts) {
-        if (!part.quarantine || part.quarantine->trials > 0 || independent(evidence(part)) < m_limits.crashes
+        if (!part.quarantine || part.quarantine->trials > 0 || independent(judged(part)) < m_limits.crashes
             || !explainedByStronger(id, part)) {
             continue;
         }
@@ -547,13 +555,14 @@
     return any;
 }
 
-/// Quarantines and releases parts by the evidence, once new evidence is complete.
+/// Quarantines and releases parts by the evidence that is complete.
 void PromptQuarantine::judge(Instant now)
 {
-    if (!m_unjudgedSince || now - *m_unjudgedSince < m_limits.settle) {
+    if (!m_unjudged) {
         return;
     }
-    m_unjudgedSince.reset();
+    m_judgedUntil = now - m_limits.settle;
+    m_unjudged = m_latestCrash > m_judgedUntil;
     do {
         for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
             for (const auto &suspect : tied) {
