Tell other instances only of crashes that an instance saw itself

Full reports repeated all evidence of all instances, so that each instance heard of a crash from every other one with each heartbeat. Now the instances whose attempts broke report it; quarantined parts are still told by all. crashes() and quarantined() give logs and metrics what they read from full reports before.

--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -227,8 +227,9 @@
     /// Changes that other instances have not been told of, as many as fit a datagram; empty when there are none.
     QuarantineReport takeChanges(Instant now);
 
-    /// Quarantined parts and recent evidence, as much as fits a datagram; repeated with heartbeats, since datagrams may
-    /// be lost and instances may restart.
+    /// Quarantined parts and the evidence that this instance saw itself, as much as fits a datagram; repeated with
+    /// heartbeats, since datagrams may be lost and instances may restart. A trial is told best with some full reports
+    /// in quick succession, since an instance that does not hear of it sends one of its own.
     QuarantineReport fullReport(Instant now) const;
 
     /// Applies a report of another instance.
@@ -237,6 +238,12 @@
     /// Drops evidence that is too old; to be called every few seconds.
     void expire(Instant now);
 
+    /// Number of engine incarnations whose crash counts against a part.
+    std::size_t crashes(PromptPart part) const;
+
+    /// Number of quarantined parts.
+    std::size_t quarantined() const;
+
     /// Number of entries in memory, over all tables.
     std::size_t size() const;
 
@@ -249,10 +256,18 @@
         std::uint32_t trials = 0;
     };
 
+    struct Seen
+    {
+        Instant at{};
+        /// Whether an attempt of this instance was broken by it. Only these are told to others, so that each instance
+        /// hears of a crash from few.
+        bool seenHere = false;
+    };
+
     struct Part
     {
         /// Crashes by engine incarnation.
-        std::map<std::uint32_t, Instant> crashes;
+        std::map<std::uint32_t, Seen> crashes;
         /// Latest time at which the part was known to be sound.
         std::optional<Instant> clearedAt;
         /// The same as found by this instance, where it contradicted evidence; told to others.
@@ -309,6 +324,7 @@
     void mergeAlive(const AliveMessage &message, Instant now);
     void mergeQuarantine(const QuarantineMessage &message, Instant now);
     Duration trialInterval(std::uint32_t trials) const;
+    std::vector<CrashMessage> ownCrashes(Instant now) const;
     QuarantineMessage messageOf(PromptPart id, const Quarantine &quarantine, Instant now) const;
 
     QuarantineLimits m_limits;
--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t MaximumCrashes = 32;
 /// Times of answers kept, so that settings cannot make them many.
 constexpr std::size_t MaximumLifeSigns = 1024;
-/// Share of its lifetime for which evidence is told to others. It ends early, since an entry that the last instance to
-/// hold it could still tell to one that has already dropped it would never vanish.
+/// Share of its lifetime for which a quarantine whose trial is due is told to others. It ends early, since an entry
+/// that the last instance to hold it could still tell to one that has already dropped it would never vanish.
 constexpr int ToldShare = 2;
 
 std::uint32_t milliseconds(Duration duration)
@@ -67,6 +67,9 @@
             m_newCrashes.emplace(part, engine);
             limit(m_newCrashes, m_limits.maximumParts);
         }
+        if (const auto found = m_parts.find(part); found != m_parts.end() && found->second.crashes.contains(engine)) {
+            found->second.crashes.at(engine).seenHere = true;
+        }
     }
     judge(now);
     return changesSince(before);
@@ -172,10 +175,10 @@
             return false;
         }
         const auto found = part->second.crashes.find(crash.second);
-        if (found == part->second.crashes.end() || outdated(part->second, found->second)) {
+        if (found == part->second.crashes.end() || outdated(part->second, found->second.at)) {
             return false;
         }
-        report.crashes.push_back({crash.first, crash.second, milliseconds(now - found->second)});
+        report.crashes.push_back({crash.first, crash.second, milliseconds(now - found->second.at)});
         return true;
     });
     return report;
@@ -185,40 +188,56 @@
 {
     QuarantineReport report;
     auto room = m_limits.maximumReported;
-    const auto told = [&](Instant at) {
-        return now - at < m_limits.evidenceLifetime / ToldShare;
+    const auto take = [&room] {
+        return room > 0 && room-- > 0;
     };
-    std::vector<CrashMessage> crashes;
     for (const auto &[id, part] : m_parts) {
-        if (part.quarantine && room > 0 && now - part.quarantine->trialAt < m_limits.longestTrialAfter / ToldShare) {
+        if (part.quarantine && now - part.quarantine->trialAt < m_limits.longestTrialAfter / ToldShare && take()) {
             report.quarantined.push_back(messageOf(id, *part.quarantine, now));
-            --room;
-        }
-        for (const auto &[at, engine] : evidence(part)) {
-            if (told(at)) {
-                crashes.push_back({id, engine, milliseconds(now - at)});
-            }
         }
     }
-    std::ranges::stable_sort(crashes, {}, &CrashMessage::ageMs);
-    crashes.resize(std::min(crashes.size(), room));
-    room -= crashes.size();
-    report.crashes = std::move(crashes);
+    report.crashes = ownCrashes(now);
+    report.crashes.resize(std::min(report.crashes.size(), room));
+    room -= report.crashes.size();
     for (const auto &[engine, startedAt] : m_withdrawn) {
-        if (room > 0 && told(startedAt)) {
+        if (now - startedAt < m_limits.evidenceLifetime && take()) {
             report.alive.push_back({engine, milliseconds(now - startedAt)});
-            --room;
         }
     }
     for (const auto &[id, part] : m_parts) {
-        if (room > 0 && part.clearedHere && told(*part.clearedHere)) {
+        if (part.clearedHere && now - *part.clearedHere < m_limits.evidenceLifetime && take()) {
             report.cleared.push_back({id, milliseconds(now - *part.clearedHere)});
-            --room;
         }
     }
     return report;
 }
 
+/// Crashes that count and that this instance saw itself, the latest first.
+std::vector<CrashMessage> PromptQuarantine::ownCrashes(Instant now) const
+{
+    std::vector<CrashMessage> crashes;
+    for (const auto &[id, part] : m_parts) {
+        for (const auto &[engine, crash] : part.crashes) {
+            if (crash.seenHere && !outdated(part, crash.at) && now - crash.at < m_limits.evidenceLifetime) {
+                crashes.push_back({id, engine, milliseconds(now - crash.at)});
+            }
+        }
+    }
+    std::ranges::stable_sort(crashes, {}, &CrashMessage::ageMs);
+    return crashes;
+}
+
+std::size_t PromptQuarantine::crashes(PromptPart part) const
+{
+    const auto found = m_parts.find(part);
+    return found == m_parts.end() ? 0 : evidence(found->second).size();
+}
+
+std::size_t PromptQuarantine::quarantined() const
+{
+    return quarantinedParts().size();
+}
+
 PromptQuarantine::Changes PromptQuarantine::merge(const QuarantineReport &report, Instant now)
 {
     const auto before = quarantinedParts();
@@ -249,7 +268,7 @@
         }
         if (!part.quarantine) {
             std::erase_if(part.crashes,
-                          [&](const auto &crash) { return old(crash.second, m_limits.evidenceLifetime); });
+                          [&](const auto &crash) { return old(crash.second.at, m_limits.evidenceLifetime); });
         }
     }
     // An answer is remembered longer, since an instance that was cut off may still report a quarantine that it ended.
@@ -327,13 +346,13 @@
         return false;
     }
     auto &crashes = touch(id, now).crashes;
-    const auto [crash, added] = crashes.try_emplace(engine, at);
-    crash->second = std::min(crash->second, at);
+    const auto [crash, added] = crashes.try_emplace(engine, Seen{at});
+    crash->second.at = std::min(crash->second.at, at);
     m_unjudged = m_unjudged || added;
     m_latestCrash = std::max(m_latestCrash, at);
     if (crashes.size() > MaximumCrashes) {
         crashes.erase(std::ranges::min_element(
-            crashes, {}, [](const auto &entry) { return std::pair(entry.second, entry.first); }));
+            crashes, {}, [](const auto &entry) { return std::pair(entry.second.at, entry.first); }));
     }
     return added;
 }
@@ -368,7 +387,7 @@
     bool any = false;
     for (auto &[id, part] : m_parts) {
         const auto crash = part.crashes.find(engine);
-        if (crash == part.crashes.end() || crash->second >= startedAt) {
+        if (crash == part.crashes.end() || crash->second.at >= startedAt) {
             continue;
         }
         any = true;
@@ -414,9 +433,9 @@
 PromptQuarantine::Evidence PromptQuarantine::evidence(const Part &part, const Engines &except) const
 {
     Evidence result;
-    for (const auto &[engine, at] : part.crashes) {
-        if (!outdated(part, at) && !except.contains(engine)) {
-            result.push_back({at, engine});
+    for (const auto &[engine, crash] : part.crashes) {
+        if (!outdated(part, crash.at) && !except.contains(engine)) {
+            result.push_back({crash.at, engine});
         }
     }
     std::ranges::sort(result);
