Share evidence of prompts that crash engines among all instances

Requests with one part in their prompt crashed each engine that began to answer them. No instance saw enough of the crashes to know their cause, and none told the others.

The shared parts of a prompt are decoded from the request. An attempt of a prompt at an engine whose connection is lost before the first event, while the engine is known and not leaving, is evidence against its parts; the first event of an answer clears them. Answers that the instance rejects, stalls that it ends, failures with a status and refusals are no evidence. SharedQuarantine holds the quarantine for all calls of an instance.

A prompt with a quarantined part gets 503 (prompt_quarantined) with the time to the next trial, before each choice of a place and also when it waits as the quarantine begins. A prompt whose attempts crashed as many engines as crashes_before_repeat is not sent again, whether or not these crashes came so soon after each other that they count as one against the part. Neither callers, routes nor the other parts are blocked.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -2,6 +2,7 @@
 
 #include "pomeloentry/engineplacement.h"
 #include "pomeloentry/gateways.h"
+#include "pomeloentry/promptquarantine.h"
 #include "pomeloentry/repeatbudget.h"
 #include "pomeloentry/routing.h"
 #include "pomeloentry/workledger.h"
@@ -82,6 +83,7 @@
     GatewayPolicy gateways;
     pomeloport::BreakerLimits breaker;
     RepeatLimits repeats;
+    QuarantineLimits quarantine;
     /// Interval at which a call without a free backend server is tried again.
     Duration recheckInterval = std::chrono::milliseconds(20);
     /// The same for a deferred prompt, which waits for seconds and whose choice is the most expensive one to compute.
--- a/src/include/pomeloentry/peertable.h
+++ b/src/include/pomeloentry/peertable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloentry/promptquarantine.h"
 #include "pomeloentry/workledger.h"
 
 #include "pomeloport/clock.h"
@@ -111,11 +112,13 @@
     StoreContact contact = StoreContact::Unknown;
     std::optional<PeerDescription> description;
     WorkReport work;
+    /// Sent also by instances that exchange no work.
+    QuarantineReport quarantine;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(state, exchangesWork, known, contact, description, work);
+        archive(state, exchangesWork, known, contact, description, work, quarantine);
     }
 };
 
--- a/src/include/pomeloentry/wire.h
+++ b/src/include/pomeloentry/wire.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pomeloentry/entrysettings.h"
+#include "pomeloentry/promptquarantine.h"
 #include "pomeloentry/routing.h"
 
 #include "pomeloport/protocol/store.h"
@@ -22,6 +23,8 @@
 namespace pomeloentry::wire
 {
 
+constexpr std::size_t MaximumSharedParts = 32;
+
 /// Metadata of a caller's request, beside method, target and body.
 struct CallerRequest
 {
@@ -35,6 +38,9 @@
     /// Time from now until the caller's deadline.
     std::optional<std::chrono::milliseconds> timeLimit;
     std::uint64_t promptTokens = 0;
+    /// Parts of the prompt that other requests may share, each once and MaximumSharedParts at most: the last ones,
+    /// since the first are shared the most widely.
+    std::vector<PromptPart> sharedParts;
     /// Limit on the tokens of the answer, and the caller's estimate of their number.
     std::uint64_t maximumAnswerTokens = 0;
     std::optional<std::uint64_t> expectedAnswerTokens;
--- a/src/include/pomeloport/transport/callstream.h
+++ b/src/include/pomeloport/transport/callstream.h
@@ -63,6 +63,8 @@
 struct Broken
 {
     std::string detail;
+    /// Whether the server closed or reset the connection, as opposed to sending what is no response.
+    bool connectionLost = false;
 };
 
 } // namespace callevent
--- a/src/include/pomeloport/verdict.h
+++ b/src/include/pomeloport/verdict.h
@@ -48,9 +48,10 @@
     Stopping,
     GroupUnavailable,
     Internal,
+    PromptQuarantined,
 };
 
-constexpr NameTable<ReasonCode, 24> nameTable(ReasonCode /*unused*/)
+constexpr NameTable<ReasonCode, 25> nameTable(ReasonCode /*unused*/)
 {
     return {{{ReasonCode::BadRequest, "bad_request"},
              {ReasonCode::Unauthorised, "unauthorised"},
@@ -75,7 +76,8 @@
              {ReasonCode::NotAdmitting, "not_admitting"},
              {ReasonCode::Stopping, "stopping"},
              {ReasonCode::GroupUnavailable, "group_unavailable"},
-             {ReasonCode::Internal, "internal"}}};
+             {ReasonCode::Internal, "internal"},
+             {ReasonCode::PromptQuarantined, "prompt_quarantined"}}};
 }
 
 /// The failure of a request as reported to its caller.
--- a/src/libpomeloentry/admission.cpp
+++ b/src/libpomeloentry/admission.cpp
@@ -74,6 +74,8 @@
     work.service = drawService(*call.route, randomFraction());
     work.kind = call.route->kind;
     work.promptTokens = call.request.promptTokens;
+    const auto service = routing.services.find(work.service);
+    call.promptAtEngine = work.promptTokens > 0 && service != routing.services.end() && service->second.engine;
     const auto defaultTokens = static_cast<double>(call.request.maximumAnswerTokens) * DefaultAnswerShare;
     work.answerTokens = std::min(call.request.expectedAnswerTokens.value_or(static_cast<std::uint64_t>(defaultTokens)),
                                  call.request.maximumAnswerTokens);
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -98,6 +98,13 @@
 
     void run()
     {
+        core->quarantine.onQuarantined([weak = std::weak_ptr(core)](const std::vector<PromptPart> &parts) {
+            if (const auto locked = weak.lock()) {
+                for (const auto &session : locked->sessions.all()) {
+                    session->quarantineBegan(parts);
+                }
+            }
+        });
         watch->start([weak = weak_from_this()](const FleetState &state) {
             const auto self = weak.lock();
             if (self && state.routing) {
@@ -184,7 +191,8 @@
             return;
         }
         if (exchange->request().path == "/metrics") {
-            exchange->reply(StatusOk, "text/plain; version=0.0.4", core->metrics.text());
+            exchange->reply(
+                StatusOk, "text/plain; version=0.0.4", core->metrics.text() + core->quarantine.metricsText());
             return;
         }
         exchange->reply(StatusNotFound, "text/plain", "not found\n");
--- a/src/libpomeloentry/entrycore.h
+++ b/src/libpomeloentry/entrycore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sessionregistry.h"
+#include "sharedquarantine.h"
 
 #include "pomeloentry/entryplacement.h"
 #include "pomeloentry/entrysettings.h"
@@ -37,6 +38,7 @@
         , self{settings.instance, incarnation}
         , fleet(std::make_shared<const FleetState>())
         , placement(policyOf(settings), std::hash<std::string>{}(settings.instance))
+        , quarantine(settings.policy.quarantine)
         , client(ioContext)
         , metrics(MaximumOrganisations)
     {
@@ -52,6 +54,7 @@
     const pomeloport::OwnerId self;
     pomeloport::Published<FleetState> fleet;
     EntryPlacement placement;
+    SharedQuarantine quarantine;
     pomeloport::HttpClient client;
     pomelorouter::RequestMetrics metrics;
     std::atomic<std::uint64_t> nextSequence{1};
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -142,6 +142,28 @@
     });
 }
 
+void EntrySession::quarantineBegan(const std::vector<PromptPart> &parts)
+{
+    const auto isOwn = [this](PromptPart part) {
+        return std::ranges::find(m_call.request.sharedParts, part) != m_call.request.sharedParts.end();
+    };
+    if (!m_call.promptAtEngine || std::ranges::none_of(parts, isOwn)) {
+        return;
+    }
+    boost::asio::dispatch(m_executor, [self = shared_from_this()] {
+        const bool hasAttempt = self->m_attempt.number > 0 && !self->m_attempt.closed;
+        if (self->m_finished || hasAttempt) {
+            return;
+        }
+        const auto failure = self->quarantineFailure(steadyNow());
+        if (failure && self->m_groupReservation) {
+            self->feed(event::GroupRefused{*failure});
+        } else {
+            self->feed(event::CapacityFreed{});
+        }
+    });
+}
+
 void EntrySession::giveUp()
 {
     boost::asio::dispatch(m_executor, [self = shared_from_this()] {
@@ -178,11 +200,17 @@
 
 RouteDecision EntrySession::choose(const RouteQuery &query, Instant now)
 {
+    if (auto failure = quarantineFailure(now)) {
+        return std::move(*failure);
+    }
     RouteQuery queryWithFaulty = query;
     queryWithFaulty.avoid.insert(queryWithFaulty.avoid.end(), m_faultyBackends.begin(), m_faultyBackends.end());
     PlacementTrace trace;
     auto decision = m_core->placement.choose(m_call.work, queryWithFaulty, now, trace);
     if (const auto *route = std::get_if<Route>(&decision)) {
+        if (auto failure = beginAttempt(now)) {
+            return std::move(*failure);
+        }
         logEvent(LogLevel::Info,
                  "choice",
                  {{"id", m_call.request.attemptId},
@@ -202,6 +230,51 @@
     return decision;
 }
 
+/// Why the call may not be sent because of a quarantined part; nothing when it may.
+std::optional<Failure> EntrySession::quarantineFailure(Instant now) const
+{
+    if (!m_call.promptAtEngine || m_isTrial) {
+        return std::nullopt;
+    }
+    const auto &parts = m_call.request.sharedParts;
+    // The crashes of one call are never simultaneous, however soon they follow each other.
+    const bool crashedTooMany = m_suspectedCrashes >= m_core->settings.policy.quarantine.crashesBeforeRepeat;
+    if (crashedTooMany || (m_suspectedCrashes > 0 && !m_core->quarantine.mayRepeat(parts, now))) {
+        return Failure{Verdict::MayHaveRun,
+                       ReasonCode::BackendFailed,
+                       "engines crash on prompts with a part of this one, so it is not repeated",
+                       std::nullopt};
+    }
+    const auto ruling = m_core->quarantine.rule(parts, now);
+    return ruling.treatment == SharedQuarantine::Treatment::Refuse ? std::optional(refusalOf(ruling)) : std::nullopt;
+}
+
+/// Begins a trial if the prompt has a quarantined part. Returns a failure when another prompt is tried.
+std::optional<Failure> EntrySession::beginAttempt(Instant now)
+{
+    if (!m_call.promptAtEngine || m_isTrial) {
+        return std::nullopt;
+    }
+    const auto ruling = m_core->quarantine.beginAttempt(m_call.request.sharedParts, now);
+    if (ruling.treatment == SharedQuarantine::Treatment::Refuse) {
+        return refusalOf(ruling);
+    }
+    m_isTrial = ruling.treatment == SharedQuarantine::Treatment::Try;
+    if (m_isTrial) {
+        logEvent(
+            LogLevel::Warning, "prompt_trial", {{"id", m_call.request.attemptId}, {"part", partText(ruling.part)}});
+    }
+    return std::nullopt;
+}
+
+Failure EntrySession::refusalOf(const SharedQuarantine::Ruling &ruling) const
+{
+    return {Verdict::NotRun,
+            ReasonCode::PromptQuarantined,
+            "engines crash on prompts with the part " + partText(ruling.part),
+            std::chrono::ceil<std::chrono::milliseconds>(ruling.trialIn)};
+}
+
 /// Logs why the call waits whenever the cause changes, a limited number of times.
 void EntrySession::logWait(const PlacementTrace &trace, Instant now)
 {
@@ -235,6 +308,7 @@
     m_attempt = Attempt{};
     m_attempt.number = action.attempt;
     m_attempt.backend = backendId;
+    m_attempt.startedAt = now;
     m_attempt.chunks = action.resumeFrom;
     const auto fleet = m_core->fleet.current();
     const auto found = fleet->backends.find(backendId);
@@ -242,6 +316,7 @@
         m_pendingEvents.push_back(event::AttemptRefused{action.attempt, RefusalCode::Leaving});
         return;
     }
+    m_attempt.backendKey = backendKey(found->second);
     wire::BackendCall call;
     call.expectedId = backendId;
     call.organisation = m_call.organisation;
@@ -288,7 +363,11 @@
                 return;
             }
             if (const auto *route = std::get_if<Route>(&settled)) {
-                self->feed(event::GroupGranted{*route});
+                if (auto failure = self->beginAttempt(steadyNow())) {
+                    self->feed(event::GroupRefused{std::move(*failure)});
+                } else {
+                    self->feed(event::GroupGranted{*route});
+                }
             } else {
                 self->feed(event::GroupRefused{std::get<Failure>(settled)});
             }
@@ -316,6 +395,7 @@
 
 void EntrySession::execute(action::CancelAttempt &action)
 {
+    m_isTrial = false;
     if (m_attempt.stream) {
         m_attempt.stream->close();
     }
@@ -530,7 +610,7 @@
             return;
         }
         if (!std::exchange(m_attempt.answered, true)) {
-            m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
+            recordAnswer();
             if (m_groupReservation) {
                 m_groupReservation->answered();
             }
@@ -563,6 +643,7 @@
         }
         // A stream that is resumed may have no events left, but only its framing can say so.
         if (!event.framed && !m_attempt.answered) {
+            recordCrash();
             failAttempt("the stream ended with its connection before its first event");
             return;
         }
@@ -575,16 +656,52 @@
         failAttempt("status " + std::to_string(status));
         return;
     }
-    m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, steadyNow());
+    recordAnswer();
     feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(m_attempt.body)});
     feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
 }
 
 void EntrySession::onStreamEvent(callevent::Broken &event)
 {
+    if (event.connectionLost && !m_attempt.answered && m_attempt.body.empty()) {
+        recordCrash();
+    }
     failAttempt(event.detail);
 }
 
+void EntrySession::recordAnswer()
+{
+    const auto now = steadyNow();
+    m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, now);
+    if (m_call.promptAtEngine && isSuccess(m_attempt.head.status)) {
+        m_core->quarantine.answered(m_attempt.backendKey, m_call.request.sharedParts, m_attempt.startedAt, now);
+    }
+}
+
+/// Records that the connection to the engine was lost before it answered. A server that leaves or is known to be gone
+/// ends its connections without having crashed.
+void EntrySession::recordCrash()
+{
+    const auto fleet = m_core->fleet.current();
+    const auto found = fleet->backends.find(m_attempt.backend);
+    if (!m_call.promptAtEngine || found == fleet->backends.end() || found->second.leaving
+        || backendKey(found->second) != m_attempt.backendKey) {
+        return;
+    }
+    ++m_suspectedCrashes;
+    std::string parts;
+    for (const auto part : m_call.request.sharedParts) {
+        if (!parts.empty()) {
+            parts += ',';
+        }
+        parts += partText(part);
+    }
+    logEvent(LogLevel::Warning,
+             "engine_crash_suspected",
+             {{"id", m_call.request.attemptId}, {"backend", m_attempt.backend}, {"parts", parts}});
+    m_core->quarantine.crashed(m_attempt.backendKey, m_call.request.sharedParts, steadyNow());
+}
+
 void EntrySession::failAttempt(const std::string &detail)
 {
     logEvent(LogLevel::Warning,
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -30,6 +30,8 @@
     std::string organisation;
     std::uint32_t priority = 0;
     CallWork work;
+    /// Whether the call is a prompt that an engine processes.
+    bool promptAtEngine = false;
 };
 
 /// One relayed call from admission to its end: executes the actions of its RequestFlow and passes events to it. All
@@ -51,6 +53,10 @@
     /// than a free slot is refused, since other instances can serve it. May be called on any thread.
     void instanceStops(Instant end);
 
+    /// Tells the call that some parts of prompts are quarantined from now on. A call that waits and has one of them is
+    /// refused. May be called on any thread.
+    void quarantineBegan(const std::vector<PromptPart> &parts);
+
     /// Ends the call with its final answer, unless it has ended. May be called on any thread.
     void giveUp();
 
@@ -80,6 +86,9 @@
     {
         std::uint32_t number = 0;
         std::string backend;
+        /// See backendKey().
+        std::uint32_t backendKey = 0;
+        Instant startedAt{};
         std::unique_ptr<pomeloport::CallStream> stream;
         pomeloport::HttpResponseHead head;
         wire::BackendAnswer answer;
@@ -101,6 +110,11 @@
     void onStreamEvent(pomeloport::callevent::Broken &event);
     void processEvents(std::vector<StreamEvent> events);
     void failAttempt(const std::string &detail);
+    std::optional<pomeloport::Failure> quarantineFailure(Instant now) const;
+    std::optional<pomeloport::Failure> beginAttempt(Instant now);
+    pomeloport::Failure refusalOf(const SharedQuarantine::Ruling &ruling) const;
+    void recordAnswer();
+    void recordCrash();
     void handleRefusal(const std::string &detail);
     bool isStreaming() const;
     void deliver(std::string bytes);
@@ -132,6 +146,10 @@
     std::shared_ptr<GroupReservation> m_groupReservation;
     /// Other backend servers, such as helpers, that were reported as the cause of a refusal.
     std::vector<std::string> m_faultyBackends;
+    /// Attempts of this call that may have crashed an engine.
+    std::size_t m_suspectedCrashes = 0;
+    /// The call is the one prompt with a quarantined part that may be sent; until its attempt ends.
+    bool m_isTrial = false;
     /// Cause of the latest wait that was logged; a constant of the placement.
     std::string_view m_waitCause;
     std::uint32_t m_loggedWaits = 0;
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds IdleInterval{2'000};
 /// Changes are batched for this long.
 constexpr std::chrono::milliseconds ChangeInterval{4};
+/// Added to QuarantineLimits::settle, since other instances see a crash a little later than this one.
+constexpr std::chrono::milliseconds JudgementMargin{10};
 /// An instance that is no gateway reports its work for this long after its last prompt has ended, since callers that
 /// reach it once tend to come again.
 constexpr Duration PromptMemory = std::chrono::seconds(5);
@@ -46,6 +48,7 @@
     : m_core(std::move(core))
     , m_heartbeatTimer(m_core->context)
     , m_changeTimer(m_core->context)
+    , m_judgementTimer(m_core->context)
     , m_peers(m_core->settings.peerAddress, m_core->settings.failureDomain)
     , m_startedAt(steadyNow())
 {
@@ -76,6 +79,11 @@
             self->onWorkChanged(change);
         }
     });
+    mesh->m_core->quarantine.onChanged([weak = std::weak_ptr(mesh)](SharedQuarantine::Change change) {
+        if (const auto self = weak.lock()) {
+            self->onQuarantineChanged(change);
+        }
+    });
     mesh->armHeartbeatTimer();
     return mesh;
 }
@@ -101,7 +109,7 @@
         const std::lock_guard lock(m_mutex);
         outgoing.description->others = m_peers.peersFor(failureDomain, IntroducedPeers, steadyNow());
     }
-    send(outgoing, {address});
+    send(outgoing, m_core->quarantine.fullReport(steadyNow()), {address});
     if (!outgoing.exchangesWork) {
         return;
     }
@@ -260,11 +268,12 @@
     }
     m_heartbeatTimer.cancel();
     m_changeTimer.cancel();
+    m_judgementTimer.cancel();
 }
 
 void PeerMesh::onDatagram(const OwnerId &sender, const std::string &address, const std::string &payload)
 {
-    const auto message = detail::decodeCompact<PeerMessage>(payload);
+    const auto message = pomeloport::detail::decodeCompact<PeerMessage>(payload);
     if (!message) {
         logEvent(LogLevel::Warning, "peer_message_unreadable", {{"peer", sender.instance}, {"address", address}});
         return;
@@ -291,6 +300,7 @@
             learn(other);
         }
     }
+    m_core->quarantine.merge(message->quarantine, now);
     if (message->exchangesWork) {
         m_core->placement.applyPeerReport(sender, message->work, now);
     } else {
@@ -341,6 +351,53 @@
     }
 }
 
+/// Reports evidence of crashes and has it judged. Evidence of one moment goes out together, since the loss of a failure
+/// domain breaks many attempts at once.
+void PeerMesh::onQuarantineChanged(SharedQuarantine::Change change)
+{
+    using Change = SharedQuarantine::Change;
+    switch (change) {
+    case Change::Urgent:
+        sendQuarantineChanges();
+        return;
+    case Change::Evidence:
+        armChangeTimer();
+        armJudgementTimer();
+        return;
+    case Change::Learned:
+        armJudgementTimer();
+        return;
+    }
+}
+
+void PeerMesh::armJudgementTimer()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_judgementDue = m_judgementTimerArmed;
+        if (m_stopped || m_judgementTimerArmed) {
+            return;
+        }
+        m_judgementTimerArmed = true;
+    }
+    m_judgementTimer.expires_after(m_core->settings.policy.quarantine.settle + JudgementMargin);
+    m_judgementTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
+        if (error) {
+            return;
+        }
+        bool again = false;
+        {
+            const std::lock_guard lock(self->m_mutex);
+            self->m_judgementTimerArmed = false;
+            again = self->m_judgementDue;
+        }
+        self->m_core->quarantine.judge(steadyNow());
+        if (again) {
+            self->armJudgementTimer();
+        }
+    });
+}
+
 void PeerMesh::armChangeTimer()
 {
     {
@@ -364,18 +421,41 @@
 
 void PeerMesh::sendChanges()
 {
+    sendQuarantineChanges();
     std::vector<std::string> addresses;
     {
         const std::lock_guard lock(m_mutex);
         addresses = m_peers.workingAddresses(steadyNow());
     }
     auto outgoing = message();
+    if (!outgoing.exchangesWork) {
+        return;
+    }
     while (auto changes = m_core->placement.takeChanges(steadyNow())) {
         outgoing.work = std::move(*changes);
         send(outgoing, addresses);
     }
 }
 
+/// Tells all instances that this one knows, since callers may send a prompt with the same part to any of them.
+void PeerMesh::sendQuarantineChanges()
+{
+    auto changes = m_core->quarantine.takeChanges(steadyNow());
+    if (changes.empty()) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(m_mutex);
+        addresses = m_peers.contacts(true);
+    }
+    auto outgoing = message();
+    for (auto &piece : changes) {
+        outgoing.quarantine = std::move(piece);
+        send(outgoing, addresses);
+    }
+}
+
 /// Sends all work to the peers that exchange it, and to the other contacts only that this instance is alive.
 void PeerMesh::sendHeartbeat()
 {
@@ -396,15 +476,19 @@
             });
         }
     }
-    send(outgoing, others);
+    sendQuarantineChanges();
+    const auto quarantine = m_core->quarantine.fullReport(now);
+    send(outgoing, quarantine, others);
     auto pieces = m_core->placement.fullReports(now);
     if (!outgoing.exchangesWork) {
         return;
     }
-    for (auto &piece : pieces) {
-        outgoing.work = std::move(piece);
+    for (std::size_t i = 0; i + 1 < pieces.size(); ++i) {
+        outgoing.work = std::move(pieces[i]);
         send(outgoing, workers);
     }
+    outgoing.work = std::move(pieces.back());
+    send(outgoing, quarantine, workers);
 }
 
 PeerMessage PeerMesh::message() const
@@ -429,12 +513,29 @@
             {}};
 }
 
+/// Sends a message and a report of quarantined parts, in one datagram if they fit and the report is not empty.
+void PeerMesh::send(const PeerMessage &message,
+                    const QuarantineReport &quarantine,
+                    const std::vector<std::string> &addresses)
+{
+    auto combined = message;
+    combined.quarantine = quarantine;
+    if (quarantine.empty() || pomeloport::detail::encodeCompact(combined).size() <= MaximumDatagramPayload) {
+        send(combined, addresses);
+        return;
+    }
+    send(message, addresses);
+    combined.description.reset();
+    combined.work = {};
+    send(combined, addresses);
+}
+
 void PeerMesh::send(const PeerMessage &message, const std::vector<std::string> &addresses)
 {
     if (addresses.empty()) {
         return;
     }
-    const auto payload = detail::encodeCompact(message);
+    const auto payload = pomeloport::detail::encodeCompact(message);
     for (const auto &address : addresses) {
         if (!m_socket->send(address, payload)) {
             logEvent(LogLevel::Warning, "peer_send_failed", {{"address", address}, {"detail", lastReason()}});
--- a/src/libpomeloentry/peermesh.h
+++ b/src/libpomeloentry/peermesh.h
@@ -63,8 +63,11 @@
     void sendIntroduction(const std::string &address, const std::string &failureDomain);
     void armHeartbeatTimer();
     void armChangeTimer();
+    void armJudgementTimer();
     void onWorkChanged(WorkChange change);
+    void onQuarantineChanged(SharedQuarantine::Change change);
     void sendChanges();
+    void sendQuarantineChanges();
     void sendHeartbeat();
     void updateRole();
     bool isGateway(Instant now) const;
@@ -72,6 +75,9 @@
     std::uint32_t processorMilli() const;
     void recordHeartbeatTime(Instant now);
     void send(const PeerMessage &message, const std::vector<std::string> &addresses);
+    void send(const PeerMessage &message,
+              const QuarantineReport &quarantine,
+              const std::vector<std::string> &addresses);
     PeerMessage message() const;
     PeerDescription ownDescription() const;
 
@@ -79,6 +85,7 @@
     std::shared_ptr<pomeloport::DatagramSocket> m_socket;
     boost::asio::steady_timer m_heartbeatTimer;
     boost::asio::steady_timer m_changeTimer;
+    boost::asio::steady_timer m_judgementTimer;
     mutable std::mutex m_mutex;
     PeerTable m_peers;
     KnownChanges m_knownChanges;
@@ -92,6 +99,9 @@
     bool m_exchangesWork = false;
     Instant m_lastPromptAt{};
     bool m_changeTimerArmed = false;
+    bool m_judgementTimerArmed = false;
+    /// Evidence arrived after the timer was armed.
+    bool m_judgementDue = false;
 };
 
 } // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/peermesh_test.cpp
@@ -0,0 +1,127 @@
+#include "peermesh.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unistd.h>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+using Treatment = SharedQuarantine::Treatment;
+
+namespace
+{
+
+constexpr PromptPart Crashing = 0xbad;
+constexpr PromptPart Common = 1;
+
+/// An instance without callers on the loopback interface. One instance of each failure domain is a gateway.
+struct Instance
+{
+    Instance(boost::asio::io_context &context, int number, int domain, std::uint64_t incarnation = 1)
+        : core(std::make_shared<EntryCore>(context, settingsOf(number, domain), incarnation))
+        , mesh(PeerMesh::start(core))
+    {
+        if (mesh) {
+            mesh->setStoreKnowledge({1, 1}, true, StoreContact::Answering);
+        }
+    }
+    ~Instance()
+    {
+        if (mesh) {
+            mesh->stop();
+        }
+    }
+
+    /// Addresses differ between processes, so that several can run the test at the same time.
+    static std::string addressOf(int number)
+    {
+        constexpr int Networks = 250;
+        return "127.57." + std::to_string(getpid() % Networks) + "." + std::to_string(number) + ":7740";
+    }
+
+    static EntrySettings settingsOf(int number, int domain)
+    {
+        EntrySettings settings;
+        settings.instance = "entry-" + std::to_string(number);
+        settings.failureDomain = "domain-" + std::to_string(domain);
+        settings.peerAddress = addressOf(number);
+        settings.failureDomainCount = 2;
+        settings.policy.gateways.fleetGateways = 2;
+        settings.policy.gateways.minimumPerDomain = 1;
+        settings.policy.gateways.strongEnough = 1;
+        settings.seeds = {addressOf(1)};
+        return settings;
+    }
+
+    /// Records an answer to a sound prompt and, well after it, the crash of an engine.
+    void crash(std::uint32_t engine, Duration ago)
+    {
+        const auto at = steadyNow() - ago;
+        core->quarantine.answered(100, {Common, 2}, at - 200ms, at - 100ms);
+        core->quarantine.crashed(engine, {Common, Crashing}, at);
+    }
+
+    bool refuses() const
+    {
+        return core->quarantine.rule({Common, Crashing}, steadyNow()).treatment == Treatment::Refuse;
+    }
+
+    bool serves(const std::vector<PromptPart> &parts) const
+    {
+        return core->quarantine.rule(parts, steadyNow()).treatment == Treatment::Serve;
+    }
+
+    std::shared_ptr<EntryCore> core;
+    std::shared_ptr<PeerMesh> mesh;
+};
+
+/// Runs the instances until a condition holds; returns whether it came to hold.
+bool runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+{
+    constexpr auto Limit = 10s;
+    const auto end = steadyNow() + Limit;
+    while (!condition() && steadyNow() < end) {
+        context.run_for(5ms);
+    }
+    return condition();
+}
+
+} // namespace
+
+// The crashes of a prompt that comes at any instance were known only to those that had sent it, and a restarted one
+// knew none.
+TEST_CASE("all instances refuse a part whose crashes they saw together, also after a restart", "[peermesh]")
+{
+    boost::asio::io_context context;
+    Instance first(context, 1, 1);
+    Instance second(context, 2, 1);
+    REQUIRE(first.mesh);
+    REQUIRE(second.mesh);
+    const auto gateways = [](const Instance &instance) {
+        return std::ranges::count_if(instance.mesh->live(), &PeerView::exchangesWork);
+    };
+    REQUIRE(runUntil(context, [&] { return gateways(first) + gateways(second) == 1; }));
+    auto third = std::make_unique<Instance>(context, 3, 2);
+    REQUIRE(third->mesh);
+    // The instance of the first domain that is no gateway hears that domain's, and the two gateways hear each other.
+    REQUIRE(runUntil(context, [&] { return gateways(first) == 1 && gateways(second) == 1 && gateways(*third) == 1; }));
+    first.crash(1, 3s);
+    second.crash(2, 2s);
+    third->crash(3, 1s);
+    CHECK(runUntil(context, [&] { return first.refuses() && second.refuses() && third->refuses(); }));
+    CHECK(first.serves({Common, 2}));
+    CHECK(third->serves({Common, 2}));
+    CHECK(first.core->quarantine.metricsText().find("pomelo_quarantined_prompt_parts 1\n") != std::string::npos);
+
+    third.reset();
+    // Lets cancelled operations end, which release the address.
+    context.run_for(50ms);
+    third = std::make_unique<Instance>(context, 3, 2, 2);
+    REQUIRE(third->mesh);
+    CHECK_FALSE(third->refuses());
+    CHECK(runUntil(context, [&] { return third->refuses(); }));
+}
--- a/src/libpomeloentry/policysettings.cpp
+++ b/src/libpomeloentry/policysettings.cpp
@@ -11,9 +11,13 @@
 
 constexpr milliseconds MaximumTime{60'000};
 
-void readTime(pomeloport::SettingsReader &reader, const std::string &key, Duration &value)
+void readTime(pomeloport::SettingsReader &reader,
+              const std::string &key,
+              Duration &value,
+              milliseconds minimum = milliseconds(0),
+              milliseconds maximum = MaximumTime)
 {
-    value = reader.duration(key, duration_cast<milliseconds>(value), milliseconds(0), MaximumTime);
+    value = reader.duration(key, duration_cast<milliseconds>(value), minimum, maximum);
 }
 
 void readReal(pomeloport::SettingsReader &reader, const std::string &key, double &value)
@@ -64,6 +68,23 @@
     reader.finish();
 }
 
+void readQuarantine(pomeloport::SettingsReader reader, QuarantineLimits &limits)
+{
+    constexpr std::uint64_t CrashLimit = 100;
+    constexpr std::uint64_t PartLimit = 100'000;
+    constexpr milliseconds ShortestLifetime = std::chrono::seconds(1);
+    constexpr milliseconds LongestLifetime = std::chrono::hours(1);
+    limits.crashes = reader.number("crashes", limits.crashes, 2, CrashLimit);
+    limits.crashesBeforeRepeat = reader.number("crashes_before_repeat", limits.crashesBeforeRepeat, 1, CrashLimit);
+    readTime(reader, "simultaneous", limits.simultaneous);
+    readTime(reader, "settle", limits.settle);
+    readTime(reader, "evidence_lifetime", limits.evidenceLifetime, ShortestLifetime, LongestLifetime);
+    readTime(reader, "first_trial", limits.firstTrialAfter, ShortestLifetime, LongestLifetime);
+    readTime(reader, "longest_trial", limits.longestTrialAfter, ShortestLifetime, LongestLifetime);
+    limits.maximumParts = reader.number("maximum_parts", limits.maximumParts, 1, PartLimit);
+    reader.finish();
+}
+
 } // namespace
 
 std::optional<EntryPolicy> loadPolicy(const std::string &fileName, pomeloport::SettingsErrors &errors)
@@ -78,6 +99,7 @@
     }
     readEngines(reader->section("engines"), policy.engines);
     readGateways(reader->section("gateways"), policy.gateways);
+    readQuarantine(reader->section("quarantine"), policy.quarantine);
     readTime(*reader, "wait_step", policy.recheckInterval);
     readTime(*reader, "held_wait_step", policy.deferralRecheckInterval);
     readReal(*reader, "longest_wait", policy.maximumWaitShare);
--- /dev/null
+++ b/src/libpomeloentry/policysettings_test.cpp
@@ -0,0 +1,76 @@
+#include "pomeloentry/policysettings.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <fstream>
+#include <unistd.h>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Loads a policy from a file with this text.
+std::optional<EntryPolicy> policyFrom(const std::string &text, pomeloport::SettingsErrors &errors)
+{
+    std::string name = "/tmp/policysettings_test.XXXXXX";
+    const int file = mkstemp(name.data());
+    REQUIRE(file >= 0);
+    close(file);
+    std::ofstream(name) << text;
+    auto policy = loadPolicy(name, errors);
+    std::remove(name.c_str());
+    return policy;
+}
+
+} // namespace
+
+TEST_CASE("the limits of the prompt quarantine are read from the policy file", "[policysettings]")
+{
+    pomeloport::SettingsErrors errors;
+    const auto policy =
+        policyFrom("quarantine: {crashes: 5, crashes_before_repeat: 1, simultaneous: 70ms, settle: 30ms, "
+                   "evidence_lifetime: 2m, first_trial: 10s, longest_trial: 1h, maximum_parts: 16}\n",
+                   errors);
+    REQUIRE(policy);
+    const auto &limits = policy->quarantine;
+    CHECK(limits.crashes == 5);
+    CHECK(limits.crashesBeforeRepeat == 1);
+    CHECK(limits.simultaneous == 70ms);
+    CHECK(limits.settle == 30ms);
+    CHECK(limits.evidenceLifetime == 2min);
+    CHECK(limits.firstTrialAfter == 10s);
+    CHECK(limits.longestTrialAfter == 1h);
+    CHECK(limits.maximumParts == 16);
+}
+
+TEST_CASE("absent limits of the prompt quarantine keep their defaults", "[policysettings]")
+{
+    pomeloport::SettingsErrors errors;
+    const auto policy = policyFrom("quarantine: {crashes: 4}\n", errors);
+    REQUIRE(policy);
+    const QuarantineLimits defaults;
+    CHECK(policy->quarantine.crashes == 4);
+    CHECK(policy->quarantine.crashesBeforeRepeat == defaults.crashesBeforeRepeat);
+    CHECK(policy->quarantine.evidenceLifetime == defaults.evidenceLifetime);
+    CHECK(policy->quarantine.longestTrialAfter == defaults.longestTrialAfter);
+}
+
+TEST_CASE("limits of the prompt quarantine outside their range are errors", "[policysettings]")
+{
+    const auto *const text = GENERATE("crashes: 1",
+                                      "crashes: 101",
+                                      "crashes_before_repeat: 0",
+                                      "simultaneous: 61s",
+                                      "settle: 61s",
+                                      "evidence_lifetime: 0s",
+                                      "first_trial: 2h",
+                                      "longest_trial: 2h",
+                                      "maximum_parts: 0",
+                                      "unknown: 1");
+    pomeloport::SettingsErrors errors;
+    CHECK_FALSE(policyFrom(std::string("quarantine: {") + text + "}\n", errors));
+    CHECK_FALSE(errors.empty());
+}
--- a/src/libpomeloport/protocol/callermessages.cpp
+++ b/src/libpomeloport/protocol/callermessages.cpp
@@ -246,6 +246,7 @@
     case ReasonCode::NotAdmitting:
     case ReasonCode::Stopping:
     case ReasonCode::GroupUnavailable:
+    case ReasonCode::PromptQuarantined:
         return 503;
     case ReasonCode::Internal:
         break;
--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -328,7 +328,7 @@
             complete();
             return;
         }
-        emitFinal(callevent::Broken{error == asio::error::eof ? "connection closed" : error.message()});
+        emitFinal(callevent::Broken{error == asio::error::eof ? "connection closed" : error.message(), true});
     }
 
     /// Feeds the parser with the buffered bytes and keeps those that it does not consume.
