--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -128,6 +128,7 @@
     ++quarantine.trials;
     quarantine.trialAt = now + trialInterval(quarantine.trials);
     m_newQuarantines.insert(part);
+    limit(m_newQuarantines, m_limits.maximumParts);
 }
 
 bool PromptQuarantine::mayRepeat(const std::vector<PromptPart> &parts, Instant) const
--- a/src/libpomeloentry/promptquarantine_test.cpp
+++ b/src/libpomeloentry/promptquarantine_test.cpp
@@ -605,8 +605,10 @@
     const auto last = crashInSequence(quarantine, 3);
     peer.merge(quarantine.fullReport(last), last);
     REQUIRE(refused(peer, Crashing, last));
-    CHECK(quarantine.answered(1, {Second}, last + 1s, last + 2s).released == Parts{Crashing});
-    CHECK(peer.merge(quarantine.takeChanges(last + 2s), last + 2s).released == Parts{Crashing});
+    const auto now = last + GENERATE(2s, 70s);
+    quarantine.expire(now);
+    CHECK(quarantine.answered(1, {Second}, last + 1s, now).released == Parts{Crashing});
+    CHECK(peer.merge(quarantine.takeChanges(now), now).released == Parts{Crashing});
 }
 
 TEST_CASE("a late report of a reset connection counts as a crash", "[promptquarantine]")
@@ -662,13 +664,13 @@
 TEST_CASE("a part that was answered earlier is quarantined for one that never was", "[promptquarantine]")
 {
     PromptQuarantine quarantine;
-    answer(quarantine, {Shared, Companion}, Start - 10s);
-    const std::vector<Parts> both{{Shared, Crashing}, {Shared, Companion}};
+    answer(quarantine, {Shared, Second}, Start - 10s);
+    const std::vector<Parts> both{{Shared, Crashing}, {Shared, Second}};
     for (std::uint32_t engine = 0; engine < 3; ++engine) {
         crash(quarantine, engine, both, Start + engine * 1s);
     }
     CHECK(refused(quarantine, Crashing, Start + 3s));
-    CHECK(treatment(quarantine, Companion, Start + 3s) == Treatment::Serve);
+    CHECK(treatment(quarantine, Second, Start + 3s) == Treatment::Serve);
 }
 
 TEST_CASE("two parts that are always together keep each other out of quarantine", "[promptquarantine]")
@@ -690,8 +692,11 @@
         crash(quarantine, engine, {{Shared, Companion}}, Start + engine * 1s);
     }
     REQUIRE(refused(quarantine, Companion, Start + 3s));
+    // An engine that was lost for another reason.
+    crash(quarantine, 9, {{Shared, Companion}}, Start + 3s);
     QuarantineReport late;
-    late.crashes = {{Crashing, 0, 4000}, {Crashing, 1, 3000}, {Crashing, 2, 2000}, {Crashing, 3, 1000}};
+    late.crashes = {
+        {Crashing, 0, 4000}, {Crashing, 1, 3000}, {Crashing, 2, 2000}, {Crashing, 3, 1000}, {Crashing, 4, 700}};
     const auto changes = quarantine.merge(late, Start + 4s);
     CHECK(changes.quarantined == Parts{Crashing});
     CHECK(changes.released == Parts{Companion});
@@ -711,6 +716,31 @@
     CHECK(quarantine.mayRepeat({Shared, Companion}, now));
 }
 
+TEST_CASE("an instance that missed the evidence convicts the parts of prompts nearby", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    QuarantineReport report;
+    report.quarantined = {{Crashing, 1000, 30'000, 0}};
+    quarantine.merge(report, Start);
+    for (std::uint32_t engine = 0; engine < 3; ++engine) {
+        const auto nearby = std::vector<Parts>{{Shared, Companion}, {Shared, engine < 2 ? Crashing : Second}};
+        crash(quarantine, engine, nearby, Start + engine * 1s);
+    }
+    CHECK(treatment(quarantine, Companion, Start + 3s) == Treatment::Serve);
+}
+
+TEST_CASE("the time of a trial depends on who quarantined the part", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    QuarantineReport report;
+    for (const auto trialIn : {25'000U, 20'000U, 28'000U}) {
+        report.quarantined = {{Crashing, 1000, trialIn, 0}};
+        quarantine.merge(report, Start);
+    }
+    CHECK(quarantine.rule({Crashing}, Start).trialIn == 20s);
+    CHECK_FALSE(quarantine.mayRepeat({Crashing}, Start));
+}
+
 TEST_CASE("a part that was sound earlier and begins to crash engines is not found", "[promptquarantine]")
 {
     PromptQuarantine quarantine;
@@ -756,7 +786,8 @@
     second.merge(first.takeChanges(last), last);
     REQUIRE(refused(second, Crashing, last));
     CHECK(second.answered(Sound, {Crashing}, Start, last + 100ms).released == Parts{Crashing});
-    CHECK(first.merge(second.takeChanges(last + 100ms), last + 100ms).released == Parts{Crashing});
+    const auto report = GENERATE(false, true) ? second.takeChanges(last + 100ms) : second.fullReport(last + 100ms);
+    CHECK(first.merge(report, last + 100ms).released == Parts{Crashing});
 }
 
 TEST_CASE("an instance that was cut off brings an ended quarantine back", "[promptquarantine]")
@@ -766,6 +797,7 @@
     const auto last = crashInSequence(quarantine, 3);
     peer.merge(quarantine.fullReport(last), last);
     quarantine.answered(Sound, {Crashing}, last, last + 10s);
+    REQUIRE_FALSE(quarantine.takeChanges(last + 10s).cleared.empty());
     const auto later = last + 2min;
     quarantine.expire(later);
     CHECK(quarantine.merge(peer.fullReport(later), later).quarantined.empty());
@@ -783,6 +815,7 @@
     const auto ruling = restarted.rule({Shared, Crashing}, now);
     CHECK(ruling.treatment == Treatment::Refuse);
     CHECK(ruling.trialIn == 50s);
+    CHECK_FALSE(restarted.mayRepeat({Shared, Crashing}, now));
 }
 
 TEST_CASE("a quarantined part is tried too often, by two at once, or never", "[promptquarantine]")
@@ -851,6 +884,7 @@
 {
     PromptQuarantine quarantine;
     crashInSequence(quarantine, 2);
+    answer(quarantine, {Shared}, Start + 40s);
     quarantine.expire(Start + 62s);
     CHECK(crash(quarantine, 7, {{Shared, Crashing}}, Start + 62s).quarantined.empty());
     QuarantineReport report;
@@ -975,7 +1009,7 @@
     crashInSequence(instances[0], 3);
     crash(instances[0], 9, {{Companion}}, Start + 4s);
     // Each report arrives 20 ms late and each instance expires its evidence between reports.
-    for (auto now = Start + 4s; now < Start + 150s; now += 100ms) {
+    for (auto now = Start + 4s; now < Start + 150s; now += 10ms) {
         for (std::size_t from = 0; from < instances.size(); ++from) {
             const auto report = instances.at(from).fullReport(now);
             for (std::size_t to = 0; to < instances.size(); ++to) {
@@ -993,6 +1027,39 @@
     }
 }
 
+TEST_CASE("a crash reported again counts as if it came after the answer", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    QuarantineReport report;
+    report.crashes = {{Crashing, 0, 100}};
+    quarantine.merge(report, Start);
+    answer(quarantine, {Crashing}, Start + 100ms);
+    quarantine.merge(report, Start + 400ms);
+    CHECK(quarantine.crashes(Crashing) == 0);
+}
+
+TEST_CASE("each instance repeats the crashes that others saw", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    PromptQuarantine peer;
+    quarantine.crashed(1, {Companion}, Start);
+    peer.merge(quarantine.fullReport(Start), Start);
+    CHECK(peer.crashes(Companion) == 1);
+    CHECK(peer.fullReport(Start).empty());
+    CHECK(peer.takeChanges(Start).empty());
+}
+
+TEST_CASE("a late answer among many crashes forgets the trials", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    const auto last = crashInSequence(quarantine, 5);
+    quarantine.begunTrial(Crashing, last + 30s);
+    QuarantineReport report;
+    report.cleared = {{Crashing, static_cast<std::uint32_t>((last + 31s - Start) / 1ms) - 500}};
+    CHECK(quarantine.merge(report, last + 31s).released.empty());
+    CHECK(quarantine.rule({Crashing}, last + 31s).trialIn == 59s);
+}
+
 TEST_CASE("times drift later as reports pass between instances", "[promptquarantine]")
 {
     PromptQuarantine first;
