--- a/src/include/pomeloport/transport/callstream.h
+++ b/src/include/pomeloport/transport/callstream.h
@@ -51,15 +51,20 @@
 {
 };
 
-/// The response is complete according to its framing. No event follows.
+/// The response is complete. No event follows.
 struct End
 {
+    /// Whether a length or chunks marked the end. Otherwise the response ended with its connection, so a server that
+    /// exits in the middle of it leaves the same trace as one that has sent all.
+    bool framed = true;
 };
 
 /// The response was truncated or malformed. No event follows.
 struct Broken
 {
     std::string detail;
+    /// Whether the server closed or reset the connection, as opposed to sending what is no response.
+    bool connectionLost = false;
 };
 
 } // namespace callevent
