Count the reports of one crash together

Cause: evidence was judged by the time of each report. The reports of one crash, of several prompts and instances, differ by 1 to 2 ms; when the judgement fell between them a sound part had three crashes and the crashing one two.

Change: an engine with a report that is not settled counts for no part yet, and the comparison with parts in quarantine uses settled evidence alone.

--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -335,6 +335,8 @@
     bool m_unjudged = false;
     Instant m_latestCrash{};
     Instant m_judgedUntil{};
+    /// Engines with reports of a crash later than that.
+    Engines m_unsettled;
     /// Engines whose crash this instance found not to have happened, with the time of its proof.
     std::map<std::uint32_t, Instant> m_withdrawn;
     /// Times of answers by any engine, not closer to each other than simultaneous crashes.
--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -447,7 +447,7 @@
 PromptQuarantine::Evidence PromptQuarantine::judged(const Part &part, const Engines &except) const
 {
     auto result = evidence(part, except);
-    std::erase_if(result, [this](const Crash &crash) { return crash.at > m_judgedUntil; });
+    std::erase_if(result, [this](const Crash &crash) { return m_unsettled.contains(crash.engine); });
     return result;
 }
 
@@ -470,13 +470,13 @@
 PromptQuarantine::Engines PromptQuarantine::explained(PromptPart id, const Part &part) const
 {
     Engines engines;
-    const auto crashes = independent(evidence(part));
+    const auto crashes = independent(judged(part));
     for (const auto &[otherId, other] : m_parts) {
         if (otherId == id || !other.quarantine) {
             continue;
         }
         const auto others = evidence(other);
-        const auto count = independent(others);
+        const auto count = independent(judged(other));
         if (other.quarantine->trials > 0 || count < m_limits.crashes || count >= crashes) {
             for (const auto &crash : others) {
                 engines.insert(crash.engine);
@@ -583,6 +583,15 @@
     }
     m_judgedUntil = now - m_limits.settle;
     m_unjudged = m_latestCrash > m_judgedUntil;
+    // The reports of one crash differ by some milliseconds. They count together or not yet, for all parts.
+    m_unsettled.clear();
+    for (const auto &[id, part] : m_parts) {
+        for (const auto &[engine, seen] : part.crashes) {
+            if (seen.at > m_judgedUntil) {
+                m_unsettled.insert(engine);
+            }
+        }
+    }
     do {
         for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
             for (const auto &suspect : tied) {
--- a/src/libpomeloentry/promptquarantine_test.cpp
+++ b/src/libpomeloentry/promptquarantine_test.cpp
@@ -650,6 +650,21 @@
     CHECK(refused(quarantine, Crashing, Start + 8s));
 }
 
+// Reports of one crash differ by a millisecond, and judging between them counted it for one part only.
+TEST_CASE("half of the reports of a crash convict a sound part", "[promptquarantine]")
+{
+    PromptQuarantine quarantine;
+    crash(quarantine, 1, {{Shared, Companion, Crashing}}, Start);
+    crash(quarantine, 2, {{Shared, Companion, Crashing}}, Start + 1s);
+    const auto last = Start + 2s;
+    quarantine.crashed(3, {Companion}, last);
+    quarantine.crashed(3, {Crashing}, last + 1ms);
+    const auto between = last + QuarantineLimits{}.settle + 500us;
+    answer(quarantine, {Shared}, between);
+    CHECK(treatment(quarantine, Companion, between) == Treatment::Serve);
+    CHECK(treatment(quarantine, Crashing, between) == Treatment::Serve);
+}
+
 TEST_CASE("a rare sound part that came along with each crash is quarantined", "[promptquarantine]")
 {
     PromptQuarantine quarantine;
