Refuse a part in quarantine only together with parts that nothing tells from it

Cause: the evidence can't tell two parts that are always together, and each was treated as the cause.

Change: parts that are quarantined in a tie name each other. While that lasts, only prompts with all of them are refused. A sound prompt with one of them is served and clears it, and a crash with one of them alone tells which it is. The messages between instances carry the companions; each counts as an entry of a report, so that reports still fit a datagram.

--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -103,11 +103,13 @@
     std::uint32_t trialInMs = 0;
     /// Trials begun; none of them was answered.
     std::uint32_t trials = 0;
+    /// Parts that came along with this one in every crash, see PromptQuarantine.
+    std::vector<PromptPart> companions;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(part, ageMs, trialInMs, trials);
+        archive(part, ageMs, trialInMs, trials, companions);
     }
 };
 
@@ -254,6 +256,9 @@
         Instant since{};
         Instant trialAt{};
         std::uint32_t trials = 0;
+        /// Parts that nothing distinguishes from this one. While they are quarantined as well, only prompts with all of
+        /// them are refused, so that an answer or a crash can tell which part is the cause.
+        std::set<PromptPart> companions;
     };
 
     struct Seen
@@ -314,7 +319,8 @@
     Engines explained(PromptPart id, const Part &part) const;
     std::vector<Suspect> suspects() const;
     std::vector<Suspect> strongest() const;
-    void convict(const Suspect &suspect);
+    void convict(const Suspect &suspect, const std::vector<Suspect> &tied);
+    const Quarantine *quarantineOf(PromptPart id, const std::vector<PromptPart> &parts) const;
     bool explainedByStronger(PromptPart id, const Part &part) const;
     bool releaseExplained();
     void judge(Instant now);
--- a/src/libpomeloentry/promptquarantine.cpp
+++ b/src/libpomeloentry/promptquarantine.cpp
@@ -17,6 +17,8 @@
 
 /// Crashes kept for each part; the latest are kept.
 constexpr std::size_t MaximumCrashes = 32;
+/// Companions kept for each part in quarantine; more than this are not distinguished from it.
+constexpr std::size_t MaximumCompanions = 2;
 /// Times of answers kept, so that settings cannot make them many.
 constexpr std::size_t MaximumLifeSigns = 1024;
 /// Share of its lifetime for which a quarantine whose trial is due is told to others. It ends early, since an entry
@@ -106,11 +108,11 @@
 {
     Ruling ruling;
     for (const auto id : parts) {
-        const auto found = m_parts.find(id);
-        if (found == m_parts.end() || !found->second.quarantine) {
+        const auto *quarantine = quarantineOf(id, parts);
+        if (!quarantine) {
             continue;
         }
-        const auto wait = std::max(Duration{}, found->second.quarantine->trialAt - now);
+        const auto wait = std::max(Duration{}, quarantine->trialAt - now);
         if (ruling.treatment == Treatment::Serve || wait > ruling.trialIn) {
             ruling = {wait > Duration{} ? Treatment::Refuse : Treatment::Try, id, wait};
         }
@@ -118,6 +120,23 @@
     return ruling;
 }
 
+/// The quarantine of a part that applies to a prompt with these parts, or null.
+const PromptQuarantine::Quarantine *PromptQuarantine::quarantineOf(PromptPart id,
+                                                                   const std::vector<PromptPart> &parts) const
+{
+    const auto found = m_parts.find(id);
+    if (found == m_parts.end() || !found->second.quarantine) {
+        return nullptr;
+    }
+    const auto &quarantine = *found->second.quarantine;
+    const bool applies = std::ranges::all_of(quarantine.companions, [&](PromptPart companion) {
+        const auto other = m_parts.find(companion);
+        const bool undecided = other != m_parts.end() && other->second.quarantine;
+        return !undecided || std::ranges::find(parts, companion) != parts.end();
+    });
+    return applies ? &quarantine : nullptr;
+}
+
 void PromptQuarantine::begunTrial(PromptPart part, Instant now)
 {
     const auto found = m_parts.find(part);
@@ -133,13 +152,14 @@
 
 bool PromptQuarantine::mayRepeat(const std::vector<PromptPart> &parts, Instant) const
 {
-    return std::ranges::none_of(parts, [this](PromptPart id) {
+    return std::ranges::none_of(parts, [this, &parts](PromptPart id) {
         const auto found = m_parts.find(id);
         if (found == m_parts.end()) {
             return false;
         }
         const auto &part = found->second;
-        return part.quarantine || independent(evidence(part, explained(id, part))) >= m_limits.crashesBeforeRepeat;
+        return quarantineOf(id, parts)
+            || independent(evidence(part, explained(id, part))) >= m_limits.crashesBeforeRepeat;
     });
 }
 
@@ -153,6 +173,8 @@
             return false;
         }
         report.quarantined.push_back(messageOf(id, *found->second.quarantine, now));
+        // Each companion counts as a further entry.
+        room -= std::min(room - 1, found->second.quarantine->companions.size());
         return true;
     });
     drain(m_newCleared, room, [&](PromptPart id) {
@@ -195,6 +217,7 @@
     for (const auto &[id, part] : m_parts) {
         if (part.quarantine && now - part.quarantine->trialAt < m_limits.longestTrialAfter / ToldShare && take()) {
             report.quarantined.push_back(messageOf(id, *part.quarantine, now));
+            room -= std::min(room, part.quarantine->companions.size());
         }
     }
     report.crashes = ownCrashes(now);
@@ -531,10 +554,16 @@
     return {};
 }
 
-void PromptQuarantine::convict(const Suspect &suspect)
+/// Quarantines a part, given the parts that nothing distinguishes from it, itself included.
+void PromptQuarantine::convict(const Suspect &suspect, const std::vector<Suspect> &tied)
 {
     auto &part = m_parts.at(suspect.part);
-    part.quarantine = {suspect.evidence.front().at, suspect.evidence.back().at + m_limits.firstTrialAfter, 0};
+    part.quarantine = {suspect.evidence.front().at, suspect.evidence.back().at + m_limits.firstTrialAfter, 0, {}};
+    for (const auto &other : tied) {
+        if (other.part != suspect.part && part.quarantine->companions.size() < MaximumCompanions) {
+            part.quarantine->companions.insert(other.part);
+        }
+    }
     m_newQuarantines.insert(suspect.part);
     limit(m_newQuarantines, m_limits.maximumParts);
 }
@@ -595,7 +624,7 @@
     do {
         for (auto tied = strongest(); !tied.empty(); tied = strongest()) {
             for (const auto &suspect : tied) {
-                convict(suspect);
+                convict(suspect, tied);
             }
         }
     } while (releaseExplained());
@@ -648,7 +677,7 @@
         return;
     }
     if (!part.quarantine) {
-        part.quarantine = {since, trialAt, message.trials};
+        part.quarantine = {since, trialAt, message.trials, {message.companions.begin(), message.companions.end()}};
         return;
     }
     auto &own = *part.quarantine;
@@ -658,6 +687,10 @@
         : message.trials < own.trials         ? own.trialAt
                                               : std::min(own.trialAt, trialAt);
     own.trials = std::max(own.trials, message.trials);
+    // An instance that can distinguish the parts knows more.
+    std::erase_if(own.companions, [&](PromptPart companion) {
+        return std::ranges::find(message.companions, companion) == message.companions.end();
+    });
 }
 
 Duration PromptQuarantine::trialInterval(std::uint32_t trials) const
@@ -671,7 +704,11 @@
 
 QuarantineMessage PromptQuarantine::messageOf(PromptPart id, const Quarantine &quarantine, Instant now) const
 {
-    return {id, milliseconds(now - quarantine.since), milliseconds(quarantine.trialAt - now), quarantine.trials};
+    return {id,
+            milliseconds(now - quarantine.since),
+            milliseconds(quarantine.trialAt - now),
+            quarantine.trials,
+            {quarantine.companions.begin(), quarantine.companions.end()}};
 }
 
 } // namespace pomeloentry
