--- a/testsuite/servergap/run.sh
+++ b/testsuite/servergap/run.sh
@@ -9,11 +9,7 @@
 
 STORE=$NET.0.1:7000
 E1=$NET.3.1
-cat >"$WORK/entry-1.json" <<JSON
-{"nodeName":"entry-1","region":"r","zone":"a","ip":"$E1","internalPorts":[7340,7355],
- "listen":{"front":"$E1:8080","ready":"$E1:8081","directory":"$E1:8082"},"seeds":[],
- "platform":{"address":"$STORE"},"bounds":{"graceS":4}}
-JSON
+write_entry_settings entry-1 "$E1" "$STORE" 4
 route() { # route PREFIX SERVICE: prints a route with a long time limit
     printf '{"name":"%s","hostname":"a.example","pathPrefix":"%s","kind":"idempotent","timeoutMs":60000,' "$1" "$1"
     printf '"targetLatencyMs":200,"service":"%s","maxAttempts":2,"gapAimMs":250}' "$2"
--- a/testsuite/stoparrivals/run.sh
+++ b/testsuite/stoparrivals/run.sh
@@ -9,11 +9,7 @@
 
 STORE=$NET.0.1:7000
 E1=$NET.3.1
-cat >"$WORK/entry-1.json" <<JSON
-{"nodeName":"entry-1","region":"r","zone":"a","ip":"$E1","internalPorts":[7340,7355],
- "listen":{"front":"$E1:8080","ready":"$E1:8081","directory":"$E1:8082"},"seeds":[],
- "platform":{"address":"$STORE"},"bounds":{"graceS":5},"limits":{"cores":4}}
-JSON
+write_entry_settings entry-1 "$E1" "$STORE" 5 4
 start platform "$BIN/platform-standin" "$STORE" "$NET.1.1:8000"
 wait_until 5 curl -s "http://$STORE/runs"
 start entry-1 "$BIN/pomelo-entry" --settings "$WORK/entry-1.json"
