--- a/src/include/pomeloentry/promptquarantine.h
+++ b/src/include/pomeloentry/promptquarantine.h
@@ -178,6 +178,20 @@
 
 } // namespace detail
 
+namespace detail
+{
+
+/// Drops entries beyond a maximum.
+template<class Container>
+void limitSize(Container &container, std::size_t maximum)
+{
+    while (container.size() > maximum) {
+        container.erase(container.begin());
+    }
+}
+
+} // namespace detail
+
 /// Collects crashes of engines by prompt part, of this instance and of others. A part is quarantined when engines keep
 /// crashing before the first event of an answer and no prompt with the part is answered in between. Parts that sound
 /// prompts share are cleared by the answers to those. Of several parts that the same crashes may be due to, the one
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -15,9 +15,6 @@
 namespace
 {
 
-constexpr unsigned StatusOk = 200;
-constexpr unsigned StatusMultipleChoices = 300;
-constexpr unsigned StatusServerError = 500;
 constexpr unsigned StatusTooManyRequests = 429;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
@@ -25,8 +22,6 @@
 
 /// Reading from the backend server pauses while more bytes than this wait to be written to a slow caller.
 constexpr std::size_t PauseThresholdBytes = 128 * 1024;
-/// Limit on answers without events, which are buffered until they are complete.
-constexpr std::size_t MaximumBufferedAnswerBytes = 16 * 1024 * 1024;
 /// Longest idle time of a pooled connection that is reused, by whether the call can be repeated. A connection that was
 /// idle for longer may be closed by the server just as the call is sent.
 constexpr std::chrono::milliseconds MaximumIdleForNonRepeatable{300};
@@ -40,11 +35,6 @@
 /// Causes of waiting that are logged for one call, which may change with every check of a deferred prompt.
 constexpr std::uint32_t MaximumLoggedWaits = 6;
 
-bool isSuccess(unsigned status)
-{
-    return status >= StatusOk && status < StatusMultipleChoices;
-}
-
 RequestSpec specOf(const AdmittedCall &call)
 {
     RequestSpec spec;
@@ -525,201 +515,6 @@
     m_exchange->onClosed([] {});
 }
 
-void EntrySession::dispatchStreamEvent(std::uint32_t attempt, CallEvent event)
-{
-    if (attempt != m_attempt.number || m_attempt.closed || m_finished) {
-        return;
-    }
-    std::visit([this](auto &typedEvent) { onStreamEvent(typedEvent); }, event);
-}
-
-void EntrySession::onStreamEvent(callevent::Sending & /*event*/)
-{
-    feed(event::AttemptSending{m_attempt.number});
-}
-
-void EntrySession::onStreamEvent(callevent::Unreachable &event)
-{
-    logEvent(LogLevel::Warning,
-             "unreachable",
-             {{"id", m_call.request.attemptId}, {"backend", m_attempt.backend}, {"detail", event.detail}});
-    feed(event::AttemptRefused{m_attempt.number, RefusalCode::Leaving});
-}
-
-void EntrySession::onStreamEvent(callevent::Head &event)
-{
-    m_attempt.head = std::move(event.head);
-    m_attempt.answer = wire::decodeAnswer(m_attempt.head);
-    const auto &answer = m_attempt.answer;
-    if (answer.notRun || answer.identityMismatch) {
-        handleRefusal("status " + std::to_string(m_attempt.head.status));
-        return;
-    }
-    if (answer.attemptId != m_call.request.attemptId) {
-        failAttempt("the answer belongs to another request");
-        return;
-    }
-    if (answer.contentEncoded || (isSuccess(m_attempt.head.status) && !answer.sealed)) {
-        failAttempt("the answer is content-encoded or lacks the backend server's seal");
-    }
-}
-
-void EntrySession::handleRefusal(const std::string &detail)
-{
-    logEvent(LogLevel::Info,
-             "refused",
-             {{"id", m_call.request.attemptId},
-              {"backend", m_attempt.backend},
-              {"detail", detail},
-              {"at_fault", m_attempt.answer.serverAtFault}});
-    const auto fleet = m_core->fleet.current();
-    for (const auto &[id, backend] : fleet->backends) {
-        if (!m_attempt.answer.serverAtFault.empty() && backend.address == m_attempt.answer.serverAtFault
-            && id != m_attempt.backend) {
-            m_faultyBackends.push_back(id);
-            m_core->placement.failed(id, steadyNow());
-        }
-    }
-    feed(event::AttemptRefused{m_attempt.number, RefusalCode::Full});
-}
-
-bool EntrySession::isStreaming() const
-{
-    return m_attempt.answer.isEventStream && isSuccess(m_attempt.head.status);
-}
-
-void EntrySession::onStreamEvent(callevent::BodyData &event)
-{
-    if (isStreaming()) {
-        processEvents(m_attempt.events.feed(event.bytes));
-        if (m_attempt.events.overflowed() && !m_attempt.closed && !m_finished) {
-            failAttempt("an event exceeds 1 MiB");
-        }
-        return;
-    }
-    m_attempt.body += event.bytes;
-    if (m_attempt.body.size() > MaximumBufferedAnswerBytes) {
-        failAttempt("the answer exceeds 16 MiB");
-    }
-}
-
-void EntrySession::processEvents(std::vector<StreamEvent> events)
-{
-    const auto attempt = m_attempt.number;
-    for (auto &next : events) {
-        if (m_attempt.number != attempt || m_attempt.closed || m_finished) {
-            return;
-        }
-        if (!std::exchange(m_attempt.answered, true)) {
-            recordAnswer();
-            if (m_groupReservation) {
-                m_groupReservation->answered();
-            }
-        }
-        const auto step = m_position.step(next, m_attemptCount);
-        if (step == StreamPosition::Step::Break) {
-            failAttempt("the stream skips an event or has events without ids");
-            return;
-        }
-        if (step == StreamPosition::Step::Skip) {
-            continue;
-        }
-        // The flow drops the chunk if the attempt has just been abandoned, so the position moves only on delivery.
-        m_pendingEventId = next.id;
-        feed(event::ChunkArrived{m_attempt.number, m_attempt.chunks++, std::move(next.bytes)});
-    }
-}
-
-void EntrySession::onStreamEvent(callevent::Drained & /*event*/)
-{
-}
-
-void EntrySession::onStreamEvent(callevent::End &event)
-{
-    const auto status = m_attempt.head.status;
-    if (isStreaming()) {
-        if (m_attempt.events.hasPartialEvent()) {
-            failAttempt("the stream ended inside an event");
-            return;
-        }
-        // A stream that is resumed may have no events left, but only its framing can say so.
-        if (!event.framed && !m_attempt.answered) {
-            recordCrash();
-            failAttempt("the stream ended with its connection before its first event");
-            return;
-        }
-        feed(event::AttemptEnded{m_attempt.number, m_attempt.chunks, std::nullopt});
-        return;
-    }
-    if (status >= StatusServerError) {
-        m_failureHead = m_attempt.head;
-        m_failureBody = std::move(m_attempt.body);
-        failAttempt("status " + std::to_string(status));
-        return;
-    }
-    recordAnswer();
-    const auto attempt = m_attempt.number;
-    const auto index = m_attempt.chunks++;
-    feed(event::ChunkArrived{attempt, index, std::move(m_attempt.body)});
-    feed(event::AttemptEnded{attempt, index + 1, std::nullopt});
-}
-
-void EntrySession::onStreamEvent(callevent::Broken &event)
-{
-    if (event.connectionLost && !m_attempt.answered && m_attempt.body.empty()) {
-        recordCrash();
-    }
-    failAttempt(event.detail);
-}
-
-void EntrySession::recordAnswer()
-{
-    const auto now = steadyNow();
-    m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, now);
-    if (m_call.promptAtEngine && isSuccess(m_attempt.head.status)) {
-        m_core->quarantine.answered(m_attempt.backendKey, m_call.request.sharedParts, m_attempt.startedAt, now);
-    }
-}
-
-/// Records that the connection to the engine was lost before it answered. A server that leaves or is known to be gone
-/// ends its connections without having crashed.
-void EntrySession::recordCrash()
-{
-    const auto fleet = m_core->fleet.current();
-    const auto found = fleet->backends.find(m_attempt.backend);
-    if (!m_call.promptAtEngine || found == fleet->backends.end() || found->second.leaving
-        || backendKey(found->second) != m_attempt.backendKey) {
-        return;
-    }
-    ++m_suspectedCrashes;
-    std::string parts;
-    for (const auto part : m_call.request.sharedParts) {
-        if (!parts.empty()) {
-            parts += ',';
-        }
-        parts += partText(part);
-    }
-    logEvent(LogLevel::Warning,
-             "engine_crash_suspected",
-             {{"id", m_call.request.attemptId}, {"backend", m_attempt.backend}, {"parts", parts}});
-    m_core->quarantine.crashed(m_attempt.backendKey, m_call.request.sharedParts, steadyNow());
-}
-
-void EntrySession::failAttempt(const std::string &detail)
-{
-    logEvent(LogLevel::Warning,
-             "attempt_broken",
-             {{"id", m_call.request.attemptId},
-              {"attempt", m_attempt.number},
-              {"backend", m_attempt.backend},
-              {"delivered", m_deliveredEvents},
-              {"detail", detail}});
-    if (m_attempt.stream) {
-        m_attempt.stream->close();
-    }
-    feed(event::AttemptBroken{m_attempt.number});
-}
-
 std::chrono::milliseconds EntrySession::timeLeft() const
 {
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(m_call.work.deadline - steadyNow());
