Review: a frozen machine brings a runner back on all others

Disruption: one machine freezes for up to 4 s while a runner leaves whose entry is removed. The woken instance delays the removal as after an outage of the store, and gives its copy, which counts as newer, to the instances that had dropped the runner at once.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -247,7 +247,7 @@
     def __init__(self, address, target):
         self.host, port = address.rsplit(":", 1)
         self.port, self.target = int(port), target
-        self.open = asyncio.Event()
+        self.open, self.used_at, self.writers = asyncio.Event(), 0.0, set()
         self.open.set()
 
     async def start(self):
@@ -258,14 +258,22 @@
         await self.open.wait()
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
+            self.writers.update((writer, far_writer))
             await asyncio.gather(self._pass(reader, far_writer), self._pass(far_reader, writer))
         except OSError:
             writer.close()
 
+    def cut_off(self):
+        """Closes the open connections, as the store does when it cuts off its watches. New ones are accepted."""
+        for writer in self.writers:
+            writer.close()
+        self.writers.clear()
+
     async def _pass(self, reader, writer):
         try:
             while piece := await reader.read(65536):
                 await self.open.wait()
+                self.used_at = now()
                 writer.write(piece)
                 await writer.drain()
             await self.open.wait()
