--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -407,14 +407,17 @@
 
 
 def run_case(folder, case):
-    """Runs `case(record, work_folder, processes)`; it returns HELD or BROKEN. Ends all processes and exits."""
+    """Runs `case(record, work_folder, processes)`; it returns HELD or BROKEN. Ends all processes and exits. A case that is
+    stopped, or fails by itself, says nothing about the rule."""
     async def main():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         record, processes = Record(folder), []
         with tempfile.TemporaryDirectory(prefix="pomeloport-review-") as work:
             try:
                 result = await asyncio.wait_for(case(record, work, processes), 110)
-            except (CannotRun, asyncio.TimeoutError) as error:
-                record.both("the case could not run:", error or type(error).__name__)
+            except (Exception, asyncio.CancelledError) as error:
+                record.both("the case could not run:", type(error).__name__, error)
                 result = NOT_RUN
             finally:
                 for instance in processes:
