Ignore changes of a watch that are older than a removal known from a peer

Callers' requests went to a backend server that had left, for as long as the instance ran (DRAIN): a cut held up the reply to a watch, a peer's copy told of the server's removal meanwhile, and the delayed reply then restored the server. The next watch began behind the removal.

Cause: FleetDocuments::apply() compared a change with the document that it replaces; for a removed document there is none. The replica is complete up to asOf(), so a change at or below it of a document that is missing is older than its removal, and is ignored now. The log of the instance shows it: backend_gone, then backend with the same as_of.

--- a/src/include/pomeloentry/fleetdocuments.h
+++ b/src/include/pomeloentry/fleetdocuments.h
@@ -56,7 +56,9 @@
                  Instant removeAt,
                  Instant now);
 
-    /// Applies the changes reported by a watch. Returns whether the documents changed.
+    /// Applies the changes reported by a watch, in their order. A reply may be delayed until a peer's copy has told of
+    /// later changes: a document that is missing although the replica is complete beyond its version has been removed,
+    /// and such a change does not restore it. Returns whether the documents changed.
     bool apply(const std::vector<pomeloport::StoreObject> &changes, std::uint64_t asOf, Instant removeAt, Instant now);
 
     /// Replaces the contents with a peer's copy if that is newer. Returns whether it was.
--- a/src/libpomeloentry/fleetdocuments.cpp
+++ b/src/libpomeloentry/fleetdocuments.cpp
@@ -57,7 +57,7 @@
             }
             continue;
         }
-        if (known != m_documents.end() && known->second.version >= object.version) {
+        if (known != m_documents.end() ? known->second.version >= object.version : object.version <= m_asOf) {
             continue;
         }
         m_pendingRemovals.erase(object.name);
--- a/src/libpomeloentry/fleetdocuments_test.cpp
+++ b/src/libpomeloentry/fleetdocuments_test.cpp
@@ -85,3 +85,22 @@
     documents.replace({object("a", 3)}, 9, Now, Now);
     CHECK(documents.lastChangeVersion() == 9);
 }
+
+// Guards against requests to a backend server that has left: a cut holds up the reply to a watch, the copy of a peer
+// tells meanwhile that the server is gone, and then the reply arrives with an older change of its entry.
+TEST_CASE("a delayed watch reply does not restore a document that has been removed since", "[fleetdocuments]")
+{
+    FleetDocuments documents;
+    FleetDocuments peer;
+    documents.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    peer.replace({object("a", 3)}, 8, Now, Now);
+    peer.apply({object("c", 9)}, 9, Now, Now);
+    REQUIRE(documents.adopt(peer.copy(Now), Now));
+    REQUIRE_FALSE(documents.documents().contains("b"));
+    CHECK_FALSE(documents.apply({object("b", 6)}, 6, Now, Now));
+    CHECK_FALSE(documents.documents().contains("b"));
+    CHECK(documents.asOf() == 9);
+    // A new entry of the same name is newer than the removal.
+    CHECK(documents.apply({object("b", 10)}, 10, Now, Now));
+    CHECK(documents.documents().at("b").version == 10);
+}
