Merge the copy of a peer by the versions of its documents, with own delays of removals

After one instance had been frozen while a backend server left, all other instances, never disturbed, used the server again 4 to 5.9 s after its removal had been acknowledged (DRAIN).

Cause: an instance that lost the store delays removals, since entries that expire in an outage are written again soon. The others fetched its copy, as the newest one, and replaced their documents with it, the removed server and its delay included. The class: a copy's version says how far it is complete, not how new each document in it is; and a delay meant for one instance was obeyed by all.

FleetDocuments::merge() takes the place of adopt(): the newer version of each document stays, nothing that either side knows to be gone is restored, and of several removal times the earliest holds. An instance that gets answers from the store applies its own delay to what a peer tells. state_from_peer logs the number of removals that are delayed.

--- a/src/include/pomeloentry/fleetdocuments.h
+++ b/src/include/pomeloentry/fleetdocuments.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,8 +62,11 @@
     /// and such a change does not restore it. Returns whether the documents changed.
     bool apply(const std::vector<pomeloport::StoreObject> &changes, std::uint64_t asOf, Instant removeAt, Instant now);
 
-    /// Replaces the contents with a peer's copy if that is newer. Returns whether it was.
-    bool adopt(const DocumentCopy &copy, Instant now);
+    /// Merges a peer's copy: of each document the newer version stays, and a document that either side knows to be gone
+    /// is not restored. A removal that is new to this replica takes effect at ownRemoveAt if that is given, which an
+    /// instance does that reads the store itself. Otherwise it takes effect after the delay that the peer has for it. The
+    /// delay of a peer never postpones a removal that this replica knows. Returns whether the documents changed.
+    bool merge(const DocumentCopy &copy, std::optional<Instant> ownRemoveAt, Instant now);
 
     /// Removes documents whose delay has passed. Returns whether any was removed.
     bool applyDueRemovals(Instant now);
@@ -70,6 +74,9 @@
     DocumentCopy copy(Instant now) const;
     const std::map<std::string, StoredDocument> &documents() const;
 
+    /// Number of documents that the store no longer has and that are still in use.
+    std::size_t pendingRemovals() const;
+
     /// Store version up to which all changes are known; zero before the first list.
     std::uint64_t asOf() const;
 
@@ -77,6 +84,7 @@
     std::uint64_t lastChangeVersion() const;
 
 private:
+    bool update(const std::string &name, const StoredDocument &document);
     bool remove(const std::string &name, Instant removeAt, Instant now);
 
     std::map<std::string, StoredDocument> m_documents;
--- a/src/libpomeloentry/fleetdocuments.cpp
+++ b/src/libpomeloentry/fleetdocuments.cpp
@@ -57,31 +57,42 @@
             }
             continue;
         }
-        if (known != m_documents.end() ? known->second.version >= object.version : object.version <= m_asOf) {
-            continue;
-        }
-        m_pendingRemovals.erase(object.name);
-        m_documents[object.name] = {object.version, object.value};
-        m_lastChangeVersion = std::max(m_lastChangeVersion, object.version);
-        changed = true;
+        changed = update(object.name, {object.version, object.value}) || changed;
     }
     m_asOf = std::max(m_asOf, asOf);
     return changed;
 }
 
-bool FleetDocuments::adopt(const DocumentCopy &copy, Instant now)
+bool FleetDocuments::merge(const DocumentCopy &copy, std::optional<Instant> ownRemoveAt, Instant now)
 {
-    if (copy.asOf <= m_asOf || copy.lastChangeVersion <= m_lastChangeVersion) {
-        return false;
+    bool changed = false;
+    for (const auto &[name, document] : copy.documents) {
+        const auto delay = copy.removalDelaysMs.find(name);
+        if (delay == copy.removalDelaysMs.end()) {
+            changed = update(name, document) || changed;
+            continue;
+        }
+        const auto removeAt = ownRemoveAt.value_or(now + std::chrono::milliseconds(delay->second));
+        const auto known = m_documents.find(name);
+        if (known != m_documents.end() && known->second.version > document.version) {
+            continue;
+        }
+        // An instance that has just started uses documents that may be written again soon.
+        changed = (removeAt > now && update(name, document)) || changed;
+        changed = remove(name, removeAt, now) || changed;
     }
-    m_documents = copy.documents;
-    m_pendingRemovals.clear();
-    for (const auto &[name, delayMs] : copy.removalDelaysMs) {
-        m_pendingRemovals.emplace(name, now + std::chrono::milliseconds(delayMs));
+    std::vector<std::string> removedNames;
+    for (const auto &[name, document] : m_documents) {
+        if (document.version <= copy.asOf && !copy.documents.contains(name)) {
+            removedNames.push_back(name);
+        }
     }
-    m_asOf = copy.asOf;
-    m_lastChangeVersion = copy.lastChangeVersion;
-    return true;
+    for (const auto &name : removedNames) {
+        changed = remove(name, ownRemoveAt.value_or(now), now) || changed;
+    }
+    m_asOf = std::max(m_asOf, copy.asOf);
+    m_lastChangeVersion = std::max(m_lastChangeVersion, copy.lastChangeVersion);
+    return changed;
 }
 
 bool FleetDocuments::applyDueRemovals(Instant now)
@@ -98,13 +109,32 @@
     return changed;
 }
 
+/// Stores a version of a document unless the replica knows that it has changed or gone since. Returns whether it did.
+bool FleetDocuments::update(const std::string &name, const StoredDocument &document)
+{
+    const auto known = m_documents.find(name);
+    const bool isOlder = known != m_documents.end() ? known->second.version >= document.version
+                                                    : document.version <= m_asOf;
+    if (isOlder) {
+        return false;
+    }
+    m_pendingRemovals.erase(name);
+    m_documents[name] = document;
+    m_lastChangeVersion = std::max(m_lastChangeVersion, document.version);
+    return true;
+}
+
+/// Removes a document now or at a later time. Of several times the earliest holds. Returns whether it was removed.
 bool FleetDocuments::remove(const std::string &name, Instant removeAt, Instant now)
 {
     if (removeAt <= now) {
         m_pendingRemovals.erase(name);
         return m_documents.erase(name) > 0;
     }
-    m_pendingRemovals.try_emplace(name, removeAt);
+    if (m_documents.contains(name)) {
+        auto &pending = m_pendingRemovals.try_emplace(name, removeAt).first->second;
+        pending = std::min(pending, removeAt);
+    }
     return false;
 }
 
@@ -123,6 +153,11 @@
     return m_documents;
 }
 
+std::size_t FleetDocuments::pendingRemovals() const
+{
+    return m_pendingRemovals.size();
+}
+
 std::uint64_t FleetDocuments::asOf() const
 {
     return m_asOf;
--- a/src/libpomeloentry/fleetdocuments_test.cpp
+++ b/src/libpomeloentry/fleetdocuments_test.cpp
@@ -58,10 +58,10 @@
     behind.replace({object("a", 3)}, 5, Now, Now);
     ahead.replace({object("a", 3)}, 5, Now, Now);
     ahead.apply({object("a", 6)}, 6, Now, Now);
-    CHECK_FALSE(ahead.adopt(behind.copy(Now), Now));
-    CHECK(behind.adopt(ahead.copy(Now), Now));
+    CHECK_FALSE(ahead.merge(behind.copy(Now), std::nullopt, Now));
+    CHECK(behind.merge(ahead.copy(Now), std::nullopt, Now));
     CHECK(behind.documents().at("a").text == "v6");
-    CHECK_FALSE(behind.adopt(ahead.copy(Now), Now));
+    CHECK_FALSE(behind.merge(ahead.copy(Now), std::nullopt, Now));
 }
 
 TEST_CASE("a copy transfers pending removals", "[fleetdocuments]")
@@ -70,7 +70,7 @@
     source.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
     CHECK_FALSE(source.apply({object("b", 4, true)}, 8, Now + 2s, Now));
     FleetDocuments other;
-    CHECK(other.adopt(source.copy(Now), Now));
+    CHECK(other.merge(source.copy(Now), std::nullopt, Now));
     CHECK(other.documents().contains("b"));
     CHECK_FALSE(other.applyDueRemovals(Now + 1900ms));
     CHECK(other.applyDueRemovals(Now + 2s));
@@ -95,7 +95,7 @@
     documents.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
     peer.replace({object("a", 3)}, 8, Now, Now);
     peer.apply({object("c", 9)}, 9, Now, Now);
-    REQUIRE(documents.adopt(peer.copy(Now), Now));
+    REQUIRE(documents.merge(peer.copy(Now), std::nullopt, Now));
     REQUIRE_FALSE(documents.documents().contains("b"));
     CHECK_FALSE(documents.apply({object("b", 6)}, 6, Now, Now));
     CHECK_FALSE(documents.documents().contains("b"));
@@ -104,3 +104,83 @@
     CHECK(documents.apply({object("b", 10)}, 10, Now, Now));
     CHECK(documents.documents().at("b").version == 10);
 }
+
+// Guards against requests to a backend server that has left: an instance that was frozen learns of the removal late, with
+// a delay because its own watch has failed, and its copy is the newest one. The others must not use the server again.
+TEST_CASE("a copy with a delayed removal does not restore a document that is known to be gone", "[fleetdocuments]")
+{
+    FleetDocuments frozen;
+    FleetDocuments other;
+    frozen.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    other.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    REQUIRE(other.apply({object("b", 6, true)}, 6, Now, Now));
+    frozen.replace({object("a", 3)}, 9, Now + 6s, Now + 4s);
+    REQUIRE(frozen.documents().contains("b"));
+    const auto ownRemoveAt = GENERATE(std::optional<Instant>{}, std::optional<Instant>{Now + 4s});
+    CHECK_FALSE(other.merge(frozen.copy(Now + 4s), ownRemoveAt, Now + 4s));
+    CHECK_FALSE(other.documents().contains("b"));
+    CHECK(other.pendingRemovals() == 0);
+    CHECK(other.asOf() == 9);
+}
+
+TEST_CASE("a reader of the store does not obey the delay of a peer that lost the store", "[fleetdocuments]")
+{
+    FleetDocuments cut;
+    FleetDocuments reader;
+    cut.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    reader.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    cut.apply({object("b", 6, true)}, 6, Now + 2s, Now);
+    CHECK(reader.merge(cut.copy(Now), Now, Now));
+    CHECK_FALSE(reader.documents().contains("b"));
+}
+
+TEST_CASE("the earliest of several removal times holds", "[fleetdocuments]")
+{
+    FleetDocuments cut;
+    FleetDocuments undisturbed;
+    FleetDocuments follower;
+    for (auto *documents : {&cut, &undisturbed, &follower}) {
+        documents->replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+    }
+    cut.apply({object("b", 6, true)}, 6, Now + 2s, Now);
+    undisturbed.apply({object("b", 6, true)}, 6, Now, Now);
+    CHECK_FALSE(follower.merge(cut.copy(Now), std::nullopt, Now));
+    CHECK(follower.pendingRemovals() == 1);
+    SECTION("the copy of a peer that has removed it")
+    {
+        CHECK(follower.merge(undisturbed.copy(Now), std::nullopt, Now));
+        CHECK_FALSE(follower.documents().contains("b"));
+    }
+    SECTION("a copy with a later time")
+    {
+        FleetDocuments later;
+        later.replace({object("a", 3), object("b", 4)}, 5, Now, Now);
+        later.apply({object("b", 6, true)}, 7, Now + 4s, Now);
+        CHECK_FALSE(follower.merge(later.copy(Now), std::nullopt, Now));
+        CHECK(follower.applyDueRemovals(Now + 2s));
+    }
+    SECTION("an own removal at once")
+    {
+        CHECK(follower.apply({object("b", 6, true)}, 6, Now, Now));
+        CHECK_FALSE(follower.documents().contains("b"));
+    }
+}
+
+TEST_CASE("of two versions of a document the newer one stays, whoever learns of it first", "[fleetdocuments]")
+{
+    FleetDocuments left;
+    FleetDocuments right;
+    left.replace({object("a", 3), object("b", 4), object("c", 2)}, 5, Now, Now);
+    right.replace({object("a", 3), object("b", 4), object("c", 2)}, 5, Now, Now);
+    left.apply({object("b", 6), object("a", 7), object("c", 8, true)}, 8, Now, Now);
+    right.apply({object("b", 6)}, 6, Now, Now);
+    const auto leftCopy = left.copy(Now);
+    left.merge(right.copy(Now), std::nullopt, Now);
+    right.merge(leftCopy, std::nullopt, Now);
+    CHECK(left.documents().at("a").version == 7);
+    CHECK(right.documents().at("a").version == 7);
+    CHECK(left.documents().at("b").version == 6);
+    CHECK(right.documents().at("b").version == 6);
+    CHECK_FALSE(left.documents().contains("c"));
+    CHECK_FALSE(right.documents().contains("c"));
+}
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -267,6 +267,14 @@
     return std::max(now, m_storeFailedAt + LapseGracePeriod);
 }
 
+/// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store itself
+/// and depends on the delay that the peer has for them.
+std::optional<Instant> FleetWatch::ownRemovalTime(const KindState &kind, Instant now) const
+{
+    const bool answered = !m_storeUnavailable && now - m_storeCalledAt <= ContactMemory;
+    return m_isReader && kind.hasList && answered ? std::optional(removalTime(now)) : std::nullopt;
+}
+
 void FleetWatch::adoptRouting()
 {
     const auto &documents = kind(wire::DocumentKind::Routing).documents.documents();
@@ -475,11 +483,11 @@
         return;
     }
     const auto now = steadyNow();
-    const auto adopt = [this, now](wire::DocumentKind which, const std::optional<DocumentCopy> &documents) {
-        return documents && kind(which).documents.adopt(*documents, now);
+    const auto merge = [this, now](wire::DocumentKind which, const std::optional<DocumentCopy> &documents) {
+        return documents && kind(which).documents.merge(*documents, ownRemovalTime(kind(which), now), now);
     };
-    const bool routing = adopt(wire::DocumentKind::Routing, copy->routing);
-    const bool backends = adopt(wire::DocumentKind::Backends, copy->backends);
+    const bool routing = merge(wire::DocumentKind::Routing, copy->routing);
+    const bool backends = merge(wire::DocumentKind::Backends, copy->backends);
     logEvent(LogLevel::Info,
              "state_from_peer",
              {{"address", address},
@@ -487,9 +495,13 @@
               {"backends", backends},
               {"routing_as_of", kind(wire::DocumentKind::Routing).documents.asOf()},
               {"backends_as_of", kind(wire::DocumentKind::Backends).documents.asOf()},
+              {"removals_delayed", kind(wire::DocumentKind::Backends).documents.pendingRemovals()},
               {"bytes", reply->body.size()}});
     if (routing || backends) {
         publish(false);
+    } else {
+        refreshCopies();
+        shareKnownChanges();
     }
 }
 
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,7 @@
     void fetchPeerState(const std::string &address);
     void onPeerState(const std::string &address, const std::optional<pomeloport::HttpReply> &reply);
     Instant removalTime(Instant now) const;
+    std::optional<Instant> ownRemovalTime(const KindState &kind, Instant now) const;
 
     std::shared_ptr<EntryCore> m_core;
     std::shared_ptr<PeerMesh> m_mesh;
