Delay removals only after an outage of the store, not after a single failed call

An instance whose watch the store cuts off just as a backend server leaves could use that server until 2 s after the cut, longer than the bound from the acknowledgement on (DRAIN).

Cause: removalTime() took any failed call of the last four seconds for an outage. StoreOutage, a pure class, now asks for failures over half a second or for a call without an answer. A shorter outage lets no entry expire. removals_delayed logs each delay.

Shown by unit tests only, which could not compile before, since the class is new; the old rule was max(now, last failure + 2 s).

--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -30,10 +30,6 @@
 constexpr std::chrono::milliseconds WatchPause{100};
 /// Without a call to the store within this time, its availability counts as unknown.
 constexpr Duration ContactMemory = std::chrono::seconds(5);
-/// Entries that expired during an outage of the store are written again within about two seconds of its return.
-constexpr Duration LapseGracePeriod = std::chrono::milliseconds(2000);
-/// A store failure further back than this plus the grace period no longer explains missing entries.
-constexpr Duration OutageMemory = std::chrono::milliseconds(2000);
 /// A store reader fetches state from a peer only after it has been behind for this long, since the store's own reply
 /// usually arrives before.
 constexpr Duration ReaderFetchDelay = std::chrono::milliseconds(250);
@@ -123,6 +119,7 @@
         return;
     }
     kind.callPending = true;
+    kind.calledAt = steadyNow();
     StoreCall call;
     call.id = m_nextCall++;
     call.operation = StoreOperation::List;
@@ -151,7 +148,9 @@
     }
     // The list is as old as its first page; the watch repeats changes made between the pages.
     const auto now = steadyNow();
-    const bool changed = kind.documents.replace(kind.listedObjects, kind.listAsOf, removalTime(now), now);
+    const auto pendingBefore = kind.documents.pendingRemovals();
+    const bool changed = kind.documents.replace(kind.listedObjects, kind.listAsOf, m_outage.removalTime(now), now);
+    logDelayedRemovals(kind, pendingBefore, now);
     kind.listedObjects.clear();
     kind.hasList = true;
     logEvent(LogLevel::Info,
@@ -177,6 +176,7 @@
 void FleetWatch::watch(KindState &kind)
 {
     kind.callPending = true;
+    kind.calledAt = steadyNow();
     StoreCall call;
     call.id = m_nextCall++;
     call.operation = StoreOperation::Watch;
@@ -202,7 +202,10 @@
     }
     recordStoreAnswer(kind);
     const auto now = steadyNow();
-    if (kind.documents.apply(reply.objects, reply.storeVersion, removalTime(now), now)) {
+    const auto pendingBefore = kind.documents.pendingRemovals();
+    const bool changed = kind.documents.apply(reply.objects, reply.storeVersion, m_outage.removalTime(now), now);
+    logDelayedRemovals(kind, pendingBefore, now);
+    if (changed) {
         publish(true);
     } else if (!reply.objects.empty()) {
         // Pending removals count as a change, although the documents are still the same.
@@ -232,7 +235,8 @@
         return;
     }
     const auto now = steadyNow();
-    m_storeFailedAt = now;
+    // A call that was not answered in time may have met a store that was already silent; a refused one shows it is now.
+    m_outage.failed(now - kind.calledAt > WatchWait ? kind.calledAt : now, now);
     m_storeCalledAt = now;
     if (!std::exchange(m_storeUnavailable, true)) {
         logEvent(LogLevel::Warning,
@@ -253,18 +257,21 @@
         shareKnownChanges();
         logEvent(LogLevel::Info,
                  "dependency_regained",
-                 {{"dependency", "store"}, {"last_failure_ms", (now - m_storeFailedAt).count() / 1000}});
+                 {{"dependency", "store"}, {"last_failure_ms", (now - m_outage.lastFailure()).count() / 1000}});
     }
 }
 
-/// Returns when to apply removals seen now. They are delayed during and shortly after an outage of the store, when the
-/// entries may merely have expired and will be written again.
-Instant FleetWatch::removalTime(Instant now) const
+/// Logs that documents which the store no longer has stay in use for a while.
+void FleetWatch::logDelayedRemovals(const KindState &kind, std::size_t before, Instant now) const
 {
-    if (m_storeFailedAt == Instant{} || now - m_storeFailedAt > OutageMemory + LapseGracePeriod) {
-        return now;
+    if (kind.documents.pendingRemovals() > before) {
+        logEvent(LogLevel::Info,
+                 "removals_delayed",
+                 {{"kind", nameOf(kind.kind)},
+                  {"pending", kind.documents.pendingRemovals()},
+                  {"delay_ms", (m_outage.removalTime(now) - now).count() / 1000},
+                  {"as_of", kind.documents.asOf()}});
     }
-    return std::max(now, m_storeFailedAt + LapseGracePeriod);
 }
 
 /// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store itself
@@ -272,7 +279,7 @@
 std::optional<Instant> FleetWatch::ownRemovalTime(const KindState &kind, Instant now) const
 {
     const bool answered = !m_storeUnavailable && now - m_storeCalledAt <= ContactMemory;
-    return m_isReader && kind.hasList && answered ? std::optional(removalTime(now)) : std::nullopt;
+    return m_isReader && kind.hasList && answered ? std::optional(m_outage.removalTime(now)) : std::nullopt;
 }
 
 void FleetWatch::adoptRouting()
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -5,6 +5,7 @@
 
 #include "pomeloentry/fleetcopy.h"
 #include "pomeloentry/fleetdocuments.h"
+#include "pomeloentry/storeoutage.h"
 #include "pomeloentry/wire.h"
 
 #include "pomeloport/transport/platformclient.h"
@@ -50,6 +51,8 @@
         std::vector<pomeloport::StoreObject> listedObjects;
         std::uint64_t listAsOf = 0;
         std::unique_ptr<boost::asio::steady_timer> timer;
+        /// When the current or last call to the store was sent.
+        Instant calledAt{};
         std::uint32_t failures = 0;
         bool hasList = false;
         /// Whether a call to the store is in progress or its retry is scheduled.
@@ -76,7 +79,7 @@
     void fetchIfBehind(const std::vector<PeerView> &peers);
     void fetchPeerState(const std::string &address);
     void onPeerState(const std::string &address, const std::optional<pomeloport::HttpReply> &reply);
-    Instant removalTime(Instant now) const;
+    void logDelayedRemovals(const KindState &kind, std::size_t before, Instant now) const;
     std::optional<Instant> ownRemovalTime(const KindState &kind, Instant now) const;
 
     std::shared_ptr<EntryCore> m_core;
@@ -105,7 +108,7 @@
     KnownChanges m_encodedFor;
     /// Since when a peer has been known to have changes that this instance lacks.
     std::optional<Instant> m_behindSince;
-    Instant m_storeFailedAt{};
+    StoreOutage m_outage;
     Instant m_storeCalledAt{};
     bool m_storeUnavailable = false;
     /// End of the time after the start in which state is expected from peers.
--- /dev/null
+++ b/src/libpomeloentry/storeoutage_test.cpp
@@ -0,0 +1,57 @@
+#include "pomeloentry/storeoutage.h"
+
+#include <catch2/catch.hpp>
+
+using namespace pomeloentry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto Now = Instant(1h);
+
+} // namespace
+
+// Guards against requests to a backend server that has left: the store cuts off the watch of an instance just as the
+// server leaves, and the instance takes that for an outage and goes on using the server.
+TEST_CASE("a single failed call delays no removals", "[storeoutage]")
+{
+    StoreOutage outage;
+    CHECK(outage.removalTime(Now) == Now);
+    outage.failed(Now, Now);
+    CHECK(outage.removalTime(Now + 60ms) == Now + 60ms);
+    outage.failed(Now + 60ms, Now + 60ms);
+    CHECK(outage.removalTime(Now + 180ms) == Now + 180ms);
+    CHECK(outage.lastFailure() == Now + 60ms);
+}
+
+TEST_CASE("removals during and shortly after an outage are delayed", "[storeoutage]")
+{
+    StoreOutage outage;
+    SECTION("calls are refused for some time")
+    {
+        for (auto failedAt = Now; failedAt <= Now + 3s; failedAt += 300ms) {
+            outage.failed(failedAt, failedAt);
+        }
+    }
+    SECTION("a call is not answered")
+    {
+        outage.failed(Now, Now + 3s);
+    }
+    SECTION("some calls are answered meanwhile")
+    {
+        outage.failed(Now, Now);
+        outage.failed(Now + 3s, Now + 3s);
+    }
+    CHECK(outage.removalTime(Now + 3100ms) == Now + 5s);
+    CHECK(outage.removalTime(Now + 6s) == Now + 6s);
+    CHECK(outage.removalTime(Now + 8s) == Now + 8s);
+}
+
+TEST_CASE("failures long after an outage begin another one", "[storeoutage]")
+{
+    StoreOutage outage;
+    outage.failed(Now, Now + 3s);
+    outage.failed(Now + 8s, Now + 8s);
+    CHECK(outage.removalTime(Now + 8100ms) == Now + 8100ms);
+}
