Send a repeated attempt on a new connection and compare its id before a refusal counts

A backend server that refused a call and wrote the refusal once more on another kept connection made the call run twice, or its caller was told that nothing ran (TWICE, REFUSED). Reported by other operators.

Cause: all attempts of a call carry its caller's id, so a late copy of the first refusal passed for the answer to the second attempt. A server that has got an attempt of a call now gets the next one on a new connection. The id of an answer is compared before the refusal is handled, not after; only a refusal on a new connection may lack it.

Before: case.repeatedrefusal on: "runs of call 1: got '2', expected '1'". After: the case passes.

--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -326,7 +326,7 @@
     relayed.target = request.target;
     relayed.fields = wire::encodeCall(request.fields, call);
     relayed.body = m_body;
-    relayed.maximumIdle = m_call.work.repeatable ? MaximumIdleForRepeatable : MaximumIdleForNonRepeatable;
+    relayed.maximumIdle = maximumIdle(relayed.address);
     relayed.responseMatches = [id = m_call.request.attemptId](const HttpResponseHead &head) {
         return wire::decodeAnswer(head).attemptId == id;
     };
@@ -341,6 +341,18 @@
                                      });
 }
 
+/// Returns how long a pooled connection to a server may have been idle for this call to reuse it. A server that has got an
+/// attempt of this call may have answered it twice, and all attempts have the same id, so the next one takes a new
+/// connection.
+std::chrono::milliseconds EntrySession::maximumIdle(const std::string &address)
+{
+    if (std::ranges::find(m_calledAddresses, address) != m_calledAddresses.end()) {
+        return std::chrono::milliseconds::zero();
+    }
+    m_calledAddresses.push_back(address);
+    return m_call.work.repeatable ? MaximumIdleForRepeatable : MaximumIdleForNonRepeatable;
+}
+
 void EntrySession::execute(action::ReserveGroup & /*action*/)
 {
     m_groupReservation = std::make_shared<GroupReservation>(
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -117,6 +117,7 @@
     void recordCrash();
     void handleRefusal(const std::string &detail);
     bool isStreaming() const;
+    std::chrono::milliseconds maximumIdle(const std::string &address);
     void deliver(std::string bytes);
     void onWritten(std::size_t bytes, bool ok);
     void timerDue();
@@ -144,6 +145,8 @@
     std::deque<pomeloport::FlowEvent> m_pendingEvents;
     /// Memory reservation at several engines for the current attempt.
     std::shared_ptr<GroupReservation> m_groupReservation;
+    /// Addresses to which attempts of this call were sent.
+    std::vector<std::string> m_calledAddresses;
     /// Other backend servers, such as helpers, that were reported as the cause of a refusal.
     std::vector<std::string> m_faultyBackends;
     /// Attempts of this call that may have crashed an engine.
--- a/src/libpomeloentry/sessionanswers.cpp
+++ b/src/libpomeloentry/sessionanswers.cpp
@@ -52,12 +52,14 @@
     m_attempt.head = std::move(event.head);
     m_attempt.answer = wire::decodeAnswer(m_attempt.head);
     const auto &answer = m_attempt.answer;
-    if (answer.notRun || answer.identityMismatch) {
-        handleRefusal("status " + std::to_string(m_attempt.head.status));
+    const bool isRefusal = answer.notRun || answer.identityMismatch;
+    // Only a refusal may lack the id; on a reused connection it is discarded then, as it may answer an earlier call.
+    if (answer.attemptId != m_call.request.attemptId && !(isRefusal && answer.attemptId.empty())) {
+        failAttempt("the answer belongs to another request");
         return;
     }
-    if (answer.attemptId != m_call.request.attemptId) {
-        failAttempt("the answer belongs to another request");
+    if (isRefusal) {
+        handleRefusal("status " + std::to_string(m_attempt.head.status));
         return;
     }
     if (answer.contentEncoded || (isSuccess(m_attempt.head.status) && !answer.sealed)) {
