Reject a response head in which another status line begins

Cause: the two heads together are well-formed, with an odd reason or value. The copy is a prefix and the next head is whole, so its status line lies in that reason or value, or the parser fails anyway. ReplyParser now rejects it, for all streams.

--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -2,9 +2,40 @@
 
 #include <boost/beast/http/error.hpp>
 
+#include <algorithm>
+
 namespace pomeloport::detail
 {
 
+namespace
+{
+
+bool isDigit(char character)
+{
+    return character >= '0' && character <= '9';
+}
+
+/// Whether a status line begins inside a text, as in "text/plHTTP/1.1 200 OK". Then one response has broken off in its head
+/// and another one follows, so that the fields belong to two responses.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Protocol = "HTTP/";
+    constexpr std::string_view Version = "1.1 200";
+    for (auto position = text.find(Protocol); position != std::string_view::npos;
+         position = text.find(Protocol, position + 1)) {
+        const auto rest = text.substr(position + Protocol.size(), Version.size());
+        const auto matches = [](char expected, char actual) {
+            return isDigit(expected) ? isDigit(actual) : expected == actual;
+        };
+        if (rest.size() == Version.size() && std::ranges::equal(Version, rest, matches)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
 ReplyParser::ReplyParser(Sink sink)
     : m_sink(std::move(sink))
 {
@@ -26,14 +57,20 @@
 {
 }
 
-void ReplyParser::on_response_impl(int code, Text reason, int, Error &)
+void ReplyParser::on_response_impl(int code, Text reason, int, Error &error)
 {
+    if (containsStatusLine({reason.data(), reason.size()})) {
+        error = boost::beast::http::error::bad_reason;
+    }
     m_head.status = static_cast<unsigned>(code);
     m_head.reason = std::string(reason);
 }
 
-void ReplyParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &)
+void ReplyParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &error)
 {
+    if (containsStatusLine({value.data(), value.size()})) {
+        error = boost::beast::http::error::bad_value;
+    }
     m_head.fields.emplace_back(std::string(name), std::string(value));
 }
 
