Fail an attempt whose answer does not continue the stream

After a stream had broken off, a 404 or a success without events ended the call although its route permitted another attempt; the caller's stream was cut, and the log said "answered". Reported by other operators in a graver form: here no text of such an answer reached the caller, since a connection writes no second head.

Cause: only a status from 500 on failed the attempt. Once events are delivered, an answer that is no event stream now fails its attempt at its head. Events without ids are no longer appended to those of an earlier attempt that had none either.

--- a/src/libpomeloentry/eventsplitter.cpp
+++ b/src/libpomeloentry/eventsplitter.cpp
@@ -57,8 +57,12 @@
 
 StreamPosition::Step StreamPosition::step(const StreamEvent &event, std::uint32_t attempt) const
 {
+    const bool continuesOther = attempt > 1 && (m_hasDelivered || m_lastEventId);
+    if (continuesOther && (!event.id || !m_lastEventId)) {
+        return Step::Break;
+    }
     if (!event.id) {
-        return attempt > 1 && m_lastEventId ? Step::Break : Step::Deliver;
+        return Step::Deliver;
     }
     if (!m_lastEventId || *event.id == *m_lastEventId + 1) {
         return Step::Deliver;
@@ -68,6 +72,7 @@
 
 void StreamPosition::delivered(std::optional<std::uint64_t> id)
 {
+    m_hasDelivered = true;
     m_lastEventId = id ? id : m_lastEventId;
 }
 
--- a/src/libpomeloentry/eventsplitter.h
+++ b/src/libpomeloentry/eventsplitter.h
@@ -46,6 +46,7 @@
 
 private:
     std::optional<std::uint64_t> m_lastEventId;
+    bool m_hasDelivered = false;
 };
 
 /// Splits a byte stream into complete events.
--- a/src/libpomeloentry/eventsplitter_test.cpp
+++ b/src/libpomeloentry/eventsplitter_test.cpp
@@ -50,6 +50,17 @@
     CHECK(position.step({"", std::nullopt}, 2) == StreamPosition::Step::Break);
 }
 
+TEST_CASE("events without ids cannot be continued by another attempt", "[eventsplitter]")
+{
+    StreamPosition position(std::nullopt);
+    CHECK(position.step({"", std::nullopt}, 1) == StreamPosition::Step::Deliver);
+    CHECK(position.step({"", std::nullopt}, 2) == StreamPosition::Step::Deliver);
+    position.delivered(std::nullopt);
+    CHECK(position.step({"", std::nullopt}, 1) == StreamPosition::Step::Deliver);
+    CHECK(position.step({"", std::nullopt}, 2) == StreamPosition::Step::Break);
+    CHECK(position.step({"", 1}, 2) == StreamPosition::Step::Break);
+}
+
 // The beginning of an event without end was buffered until the process exceeded its memory.
 TEST_CASE("an event without end is dropped after a bounded number of bytes", "[eventsplitter]")
 {
--- a/src/libpomeloentry/sessionanswers.cpp
+++ b/src/libpomeloentry/sessionanswers.cpp
@@ -64,6 +64,10 @@
     }
     if (answer.contentEncoded || (isSuccess(m_attempt.head.status) && !answer.sealed)) {
         failAttempt("the answer is content-encoded or lacks the backend server's seal");
+        return;
+    }
+    if (m_headSent && !isStreaming()) {
+        failAttempt("status " + std::to_string(m_attempt.head.status) + " without events does not continue the stream");
     }
 }
 
