--- a/src/include/pomeloentry/fleetdocuments.h
+++ b/src/include/pomeloentry/fleetdocuments.h
@@ -64,8 +64,8 @@
 
     /// Merges a peer's copy: of each document the newer version stays, and a document that either side knows to be gone
     /// is not restored. A removal that is new to this replica takes effect at ownRemoveAt if that is given, which an
-    /// instance does that reads the store itself. Otherwise it takes effect after the delay that the peer has for it. The
-    /// delay of a peer never postpones a removal that this replica knows. Returns whether the documents changed.
+    /// instance does that reads the store itself. Otherwise it takes effect after the delay that the peer has for it.
+    /// The delay of a peer never postpones a removal that this replica knows. Returns whether the documents changed.
     bool merge(const DocumentCopy &copy, std::optional<Instant> ownRemoveAt, Instant now);
 
     /// Removes documents whose delay has passed. Returns whether any was removed.
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -341,8 +341,8 @@
                                      });
 }
 
-/// Returns how long a pooled connection to a server may have been idle for this call to reuse it. A server that has got an
-/// attempt of this call may have answered it twice, and all attempts have the same id, so the next one takes a new
+/// Returns how long a pooled connection to a server may have been idle for this call to reuse it. A server that has got
+/// an attempt of this call may have answered it twice, and all attempts have the same id, so the next one takes a new
 /// connection.
 std::chrono::milliseconds EntrySession::maximumIdle(const std::string &address)
 {
--- a/src/libpomeloentry/fleetdocuments.cpp
+++ b/src/libpomeloentry/fleetdocuments.cpp
@@ -113,8 +113,8 @@
 bool FleetDocuments::update(const std::string &name, const StoredDocument &document)
 {
     const auto known = m_documents.find(name);
-    const bool isOlder = known != m_documents.end() ? known->second.version >= document.version
-                                                    : document.version <= m_asOf;
+    const bool isOlder =
+        known != m_documents.end() ? known->second.version >= document.version : document.version <= m_asOf;
     if (isOlder) {
         return false;
     }
--- a/src/libpomeloentry/fleetdocuments_test.cpp
+++ b/src/libpomeloentry/fleetdocuments_test.cpp
@@ -105,8 +105,9 @@
     CHECK(documents.documents().at("b").version == 10);
 }
 
-// Guards against requests to a backend server that has left: an instance that was frozen learns of the removal late, with
-// a delay because its own watch has failed, and its copy is the newest one. The others must not use the server again.
+// Guards against requests to a backend server that has left: an instance that was frozen learns of the removal late,
+// with a delay because its own watch has failed, and its copy is the newest one. The others must not use the server
+// again.
 TEST_CASE("a copy with a delayed removal does not restore a document that is known to be gone", "[fleetdocuments]")
 {
     FleetDocuments frozen;
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -274,8 +274,8 @@
     }
 }
 
-/// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store itself
-/// and depends on the delay that the peer has for them.
+/// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store
+/// itself and depends on the delay that the peer has for them.
 std::optional<Instant> FleetWatch::ownRemovalTime(const KindState &kind, Instant now) const
 {
     const bool answered = !m_storeUnavailable && now - m_storeCalledAt <= ContactMemory;
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -206,13 +206,14 @@
     CHECK(caller.call(server.address(), "2") == "200 two end");
 }
 
-// Guards against an answer that is passed on with the status or the seal of another one: a second copy of an earlier answer
-// comes late and breaks off, and the head that follows was read as its continuation.
+// Guards against an answer that is passed on with the status or the seal of another one: a second copy of an earlier
+// answer comes late and breaks off, and the head that follows was read as its continuation.
 TEST_CASE("a late copy that breaks off is not joined with the response that follows", "[callstream]")
 {
-    const auto copy = GENERATE(as<std::string>{},
-                               "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nId: 1\r\nSeal: s\r\nContent-Length: 3\r\n\r\none",
-                               "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+    const auto copy =
+        GENERATE(as<std::string>{},
+                 "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nId: 1\r\nSeal: s\r\nContent-Length: 3\r\n\r\none",
+                 "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
     const std::string failure = "HTTP/1.1 500 X\r\nId: 2\r\nContent-Length: 4\r\n\r\nfail";
     for (std::size_t length = 1; length <= copy.size(); ++length) {
         CAPTURE(copy.substr(0, length));
--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -15,8 +15,8 @@
     return character >= '0' && character <= '9';
 }
 
-/// Whether a status line begins inside a text, as in "text/plHTTP/1.1 200 OK". Then one response has broken off in its head
-/// and another one follows, so that the fields belong to two responses.
+/// Whether a status line begins inside a text, as in "text/plHTTP/1.1 200 OK". Then one response has broken off in its
+/// head and another one follows, so that the fields belong to two responses.
 bool containsStatusLine(std::string_view text)
 {
     constexpr std::string_view Protocol = "HTTP/";
