Hand on no status that promises more than its server said

A backend server that had run a call and answered it with 503, 429 or 408 made the caller believe that nothing ran (REFUSED).

Cause: the server's failure was passed on as it was. Without the field that says so, the call may have run: the attempt now fails, and the caller gets a 502 of the instance's own if no other server answers.

Before, on: case.falsepromise got 503. After: the case passes, with each of the three statuses.

--- a/src/include/pomeloentry/wire.h
+++ b/src/include/pomeloentry/wire.h
@@ -94,6 +94,8 @@
     bool contentEncoded = false;
     /// Address of the server that caused the failure, such as a helper engine, if the answer names one.
     std::string serverAtFault;
+    /// The answer has a status that promises callers that their request has not run, but does not say so itself.
+    bool falsePromise = false;
 };
 
 BackendAnswer decodeAnswer(const pomeloport::HttpResponseHead &head);
--- a/src/libpomeloentry/sessionanswers.cpp
+++ b/src/libpomeloentry/sessionanswers.cpp
@@ -62,6 +62,10 @@
         handleRefusal("status " + std::to_string(m_attempt.head.status));
         return;
     }
+    if (answer.falsePromise) {
+        failAttempt("status " + std::to_string(m_attempt.head.status) + " without saying that the call has not run");
+        return;
+    }
     if (answer.contentEncoded || (isSuccess(m_attempt.head.status) && !answer.sealed)) {
         failAttempt("the answer is content-encoded or lacks the backend server's seal");
         return;
