Send nothing to backend servers that say that they leave or want a pause

ServerNotices, a pure decision by incarnation, says which servers may get requests. All answers feed it at their heads, those to orders and reports too, and entries that tell of leaving; placement asks it for every request and group, and again before a reserved group is used. After a pause requests return as the server answers them. Peers tell each other, at once and with heartbeats, behind the other fields of a message and only if there is something to tell. While all servers of a service are paused, calls wait if they may, or are refused at once with a Retry-After behind the pause.

--- a/src/include/pomeloentry/entryplacement.h
+++ b/src/include/pomeloentry/entryplacement.h
@@ -5,6 +5,7 @@
 #include "pomeloentry/promptquarantine.h"
 #include "pomeloentry/repeatbudget.h"
 #include "pomeloentry/routing.h"
+#include "pomeloentry/servernotices.h"
 #include "pomeloentry/workledger.h"
 
 #include "pomeloport/coordination/circuitbreaker.h"
@@ -78,6 +79,8 @@
     Call,
     /// An attempt of a prompt was opened or began to wait for a slot.
     Prompt,
+    /// A backend server said that it leaves or wants no requests for a time.
+    Notice,
 };
 
 struct EntryPolicy
@@ -126,8 +129,35 @@
     /// before they learn of each other's choices.
     explicit EntryPlacement(const EntryPolicy &policy = {}, std::uint64_t seed = 0);
 
-    /// Replaces the configuration and the set of backend servers. Keeps the health of those that remain.
-    void update(std::shared_ptr<const FleetState> state);
+    /// Replaces the configuration and the set of backend servers. Keeps the health of those that remain. Servers whose
+    /// entries tell that they leave count as leaving from now on, whatever later entries of theirs say.
+    void update(std::shared_ptr<const FleetState> state, Instant now = {});
+
+    /// What a notice changed in the standing of a backend server, for the log.
+    struct NoticeOutcome
+    {
+        ServerNotices::Change change = ServerNotices::Change::None;
+        /// Time until which the server gets no requests; nothing if it is not paused.
+        std::optional<Instant> pausedUntil;
+    };
+
+    /// Records what an incarnation of a backend server, identified by backendKey(), says of itself.
+    NoticeOutcome noticed(std::uint32_t server, const ServerNotice &notice, NoticeSource source, Instant now);
+
+    /// Whether a wrong value in an answer of a server is to be logged, which happens now and then only.
+    bool reportsWrongNotice(std::uint32_t server, Instant now);
+
+    /// Own notices for other instances, as many as fit a datagram with an instance's state.
+    std::vector<NoticeMessage> noticeMessages(Instant now);
+
+    /// Name of the backend server with a key; empty if it is not listed.
+    std::string nameOf(std::uint32_t server) const;
+
+    /// Whether a request that was placed at these servers may still be sent: none of them leaves or is paused.
+    bool mayBeSent(const pomeloport::Route &route, Instant now) const;
+
+    /// Standing of the backend servers in the Prometheus text format.
+    std::string noticeMetricsText(Instant now) const;
 
     /// Chooses a place for an attempt. The members and helpers of the route are ids of backend servers.
     pomeloport::RouteDecision choose(const CallWork &work,
@@ -144,13 +174,14 @@
     };
     std::optional<GroupPlan> planGroup(const CallWork &work, const std::vector<std::string> &avoid, Instant now);
 
-    /// Record the start of an attempt, its first answer and its end.
+    /// Record the start of an attempt, its first answer and its end. An answer may complete the return of its server
+    /// from a pause, which answered() tells.
     void opened(const CallWork &work,
                 std::uint32_t attempt,
                 const pomeloport::Route &route,
                 const std::vector<std::uint64_t> &tickets,
                 Instant now);
-    void answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now);
+    bool answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now);
     void closed(const CallWork &work,
                 std::uint32_t attempt,
                 const std::string &backend,
@@ -215,11 +246,14 @@
     {
         std::vector<const BackendEntry *> backends;
         std::vector<std::uint32_t> keys;
-
-        /// Number of servers that take new work.
-        std::size_t usableServers() const;
     };
 
+    /// Number of servers that do not leave.
+    std::size_t usableServers(const ServiceView &service, Instant now) const;
+
+    /// When the first server of a service takes requests again, if all that do not leave are paused.
+    std::optional<Instant> commonPauseEnd(const std::string &service, Instant now) const;
+
     pomeloport::RouteDecision choosePrompt(const CallWork &work,
                                            const EngineCost &cost,
                                            const pomeloport::RouteQuery &query,
@@ -258,6 +292,11 @@
     PromptWork promptOf(const CallWork &work, const EngineCost &cost) const;
     pomeloport::Route routeOf(const CallWork &work, const EngineChoice &choice) const;
     pomeloport::RouteDecision waitOrRefuse(const CallWork &work, Instant now, PlacementTrace &trace);
+    pomeloport::RouteDecision waitForPauseEnd(const CallWork &work,
+                                              Instant end,
+                                              Instant latest,
+                                              Instant now,
+                                              PlacementTrace &trace) const;
     void reportChange(WorkChange change) const;
     void recordAttempt(const CallWork &work,
                        std::uint32_t attempt,
@@ -280,6 +319,7 @@
     /// When a call first found its service without a server, by service.
     std::unordered_map<std::string, Instant> m_withoutServerSince;
     std::unordered_map<std::uint32_t, Health> m_health;
+    ServerNotices m_notices;
     WorkLedger m_ledger;
     RepeatBudget m_repeats;
     ChangeCallback m_workChanged;
--- a/src/include/pomeloentry/peertable.h
+++ b/src/include/pomeloentry/peertable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pomeloentry/promptquarantine.h"
+#include "pomeloentry/servernotices.h"
 #include "pomeloentry/workledger.h"
 
 #include "pomeloport/clock.h"
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /// Messages between entry instances, and the peer state that each instance keeps of the others. Pure.
@@ -114,6 +116,9 @@
     WorkReport work;
     /// Sent also by instances that exchange no work.
     QuarantineReport quarantine;
+    /// What backend servers said to the sender. Encoded behind the other fields and only if there are any, so that
+    /// instances of earlier versions read all other messages.
+    std::vector<NoticeMessage> notices;
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -122,6 +127,11 @@
     }
 };
 
+std::string encodePeerMessage(const PeerMessage &message);
+
+/// Returns nothing when the bytes are not a message.
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes);
+
 /// State of another instance according to its latest messages.
 struct PeerView
 {
--- a/src/include/pomeloentry/wire.h
+++ b/src/include/pomeloentry/wire.h
@@ -3,6 +3,7 @@
 #include "pomeloentry/entrysettings.h"
 #include "pomeloentry/promptquarantine.h"
 #include "pomeloentry/routing.h"
+#include "pomeloentry/servernotices.h"
 
 #include "pomeloport/protocol/store.h"
 #include "pomeloport/transport/httpclient.h"
@@ -77,6 +78,18 @@
 /// of the call. Fields that only this system may set are dropped from the caller's.
 pomeloport::HttpFields encodeCall(const pomeloport::HttpFields &callerFields, const BackendCall &call);
 
+/// What an answer of a backend server says of the server.
+struct BackendNotice
+{
+    ServerNotice notice;
+    /// Name and value of a field that cannot be read, shortened, which is ignored; empty if there is none.
+    std::string wrongField;
+};
+
+/// Reads the notices of an answer. A pause counts only in an answer that turns a request away. Of several readable
+/// fields the most cautious one counts.
+BackendNotice decodeNotice(unsigned status, const pomeloport::HttpFields &fields);
+
 /// Decoded head of a backend server's answer.
 struct BackendAnswer
 {
@@ -96,6 +109,7 @@
     std::string serverAtFault;
     /// The answer has a status that promises callers that their request has not run, but does not say so itself.
     bool falsePromise = false;
+    BackendNotice notice;
 };
 
 BackendAnswer decodeAnswer(const pomeloport::HttpResponseHead &head);
--- a/src/include/pomeloport/protocol/compactarchive.h
+++ b/src/include/pomeloport/protocol/compactarchive.h
@@ -208,21 +208,28 @@
     return result;
 }
 
-/// Decodes the output of encodeCompact(). Returns nothing for truncated, forged or over-long input; never throws.
+/// Decodes a value at the front of the bytes and removes it from them. Returns nothing for truncated or forged input;
+/// never throws.
 template<typename T>
-std::optional<T> decodeCompact(std::string_view bytes)
+std::optional<T> takeCompact(std::string_view &bytes)
 {
     try {
         CompactInputArchive archive(bytes);
         T value;
         archive(value);
-        if (archive.bytesLeft() == 0) {
-            return value;
-        }
+        bytes.remove_prefix(bytes.size() - archive.bytesLeft());
+        return value;
     } catch (const std::exception &) {
         return std::nullopt;
     }
-    return std::nullopt;
+}
+
+/// Decodes the output of encodeCompact(). Returns nothing for truncated, forged or over-long input; never throws.
+template<typename T>
+std::optional<T> decodeCompact(std::string_view bytes)
+{
+    auto value = takeCompact<T>(bytes);
+    return bytes.empty() ? std::move(value) : std::nullopt;
 }
 
 } // namespace pomeloport::detail
--- a/src/include/pomeloport/transport/httpclient.h
+++ b/src/include/pomeloport/transport/httpclient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "pomeloport/transport/httpmessage.h"
+
 #include <boost/asio/io_context.hpp>
 
 #include <chrono>
@@ -35,6 +37,7 @@
 {
     unsigned status = 0;
     std::string body;
+    HttpFields fields;
 };
 
 /// Called once, with the reply or, on failure, with nothing. `sent` tells whether any byte of the request may have left
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -195,8 +195,10 @@
             return;
         }
         if (exchange->request().path == "/metrics") {
-            exchange->reply(
-                StatusOk, "text/plain; version=0.0.4", core->metrics.text() + core->quarantine.metricsText());
+            exchange->reply(StatusOk,
+                            "text/plain; version=0.0.4",
+                            core->metrics.text() + core->quarantine.metricsText()
+                                + core->placement.noticeMetricsText(steadyNow()));
             return;
         }
         exchange->reply(StatusNotFound, "text/plain", "not found\n");
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -25,6 +25,16 @@
 constexpr double AnswerWeight = 0.2;
 /// Answer time assumed until the first answer, in milliseconds.
 constexpr double AssumedAnswerMs = 20;
+/// Failure rate assumed of a server that has asked another instance for a pause.
+constexpr double DiscouragedFailureRate = 0.5;
+/// Interval at which a call is tried again while all servers of its service are paused, since others may come.
+constexpr Duration PausedRecheckInterval = std::chrono::milliseconds(200);
+/// Retry-After of calls that are refused in a pause is spread over this share of what remains of it, and over a
+/// minimum.
+constexpr double RetrySpreadShare = 0.25;
+constexpr double MinimumRetrySpreadMs = 100;
+/// Number of servers that the metrics page lists by name.
+constexpr std::size_t MaximumListedServers = 100;
 /// Weight of the failure rate in the score of a backend server. The score is multiplied by 1 plus this weight for a
 /// server that fails every attempt; the lowest score wins.
 constexpr double FailurePenalty = 10;
@@ -49,11 +59,28 @@
     return work.sequence * AttemptsPerCall + attempt % AttemptsPerCall;
 }
 
+/// Maps all numbers evenly to those from 0 to 1.
+double unitFraction(std::uint64_t number)
+{
+    constexpr double Range = 18446744073709551616.0;
+    return static_cast<double>(number) / Range;
+}
+
 /// Pseudo-random number from 0 to 1, constant for a call.
 double guaranteeDraw(const CallWork &work)
 {
-    constexpr double Range = 18446744073709551616.0;
-    return static_cast<double>(work.sequence * OrderFactor) / Range;
+    return unitFraction(work.sequence * OrderFactor);
+}
+
+bool takesRequests(ServerNotices::Standing standing)
+{
+    return standing == ServerNotices::Standing::Open || standing == ServerNotices::Standing::Discouraged;
+}
+
+double failureRateOf(double failureRate, ServerNotices::Standing standing)
+{
+    return standing == ServerNotices::Standing::Discouraged ? std::max(failureRate, DiscouragedFailureRate)
+                                                            : failureRate;
 }
 
 Failure stopRefusal(const char *detail)
@@ -78,21 +105,27 @@
     return work.promptTokens + work.answerTokens;
 }
 
-std::size_t EntryPlacement::ServiceView::usableServers() const
+std::size_t EntryPlacement::usableServers(const ServiceView &service, Instant now) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(backends, [](const BackendEntry *backend) { return !backend->leaving; }));
+    std::size_t result = 0;
+    for (std::size_t i = 0; i < service.backends.size(); ++i) {
+        const bool leaves = service.backends[i]->leaving
+            || m_notices.standing(service.keys[i], now) == ServerNotices::Standing::Leaving;
+        result += leaves ? 0 : 1;
+    }
+    return result;
 }
 
 EntryPlacement::EntryPlacement(const EntryPolicy &policy, std::uint64_t seed)
     : m_policy(policy)
     , m_seed(seed)
     , m_state(std::make_shared<FleetState>())
+    , m_notices(unitFraction(seed * OrderFactor))
     , m_repeats(policy.repeats)
 {
 }
 
-void EntryPlacement::update(std::shared_ptr<const FleetState> state)
+void EntryPlacement::update(std::shared_ptr<const FleetState> state, Instant now)
 {
     const std::lock_guard lock(m_mutex);
     m_state = std::move(state);
@@ -107,7 +140,11 @@
         auto &service = m_services[backend.service];
         service.backends.push_back(&backend);
         m_serviceByKey.emplace(key, backend.service);
+        if (backend.leaving && now != Instant{}) {
+            m_notices.heard(key, {true, std::nullopt}, NoticeSource::Entry, now);
+        }
     }
+    m_notices.expire(now);
     for (auto &[name, service] : m_services) {
         std::ranges::sort(service.backends, {}, [this](const BackendEntry *backend) {
             return (m_seed ^ backendKey(*backend)) * OrderFactor;
@@ -115,7 +152,7 @@
         for (const auto *backend : service.backends) {
             service.keys.push_back(backendKey(*backend));
         }
-        if (service.usableServers() > 0) {
+        if (usableServers(service, now) > 0) {
             m_withoutServerSince.erase(name);
         }
     }
@@ -184,11 +221,13 @@
         for (std::size_t i = 0; i < view.backends.size(); ++i) {
             const auto &backendHealth = health(view.keys[i]);
             const bool avoided = contains(avoid, view.backends[i]->id);
-            if (view.backends[i]->leaving || avoided || !backendHealth.breaker.permits(now)) {
+            const auto standing = m_notices.standing(view.keys[i], now);
+            if (view.backends[i]->leaving || avoided || !takesRequests(standing)
+                || !backendHealth.breaker.permits(now)) {
                 ++trace.excluded;
                 continue;
             }
-            result.push_back({view.keys[i], view.backends[i], 1, backendHealth.failureRate});
+            result.push_back({view.keys[i], view.backends[i], 1, failureRateOf(backendHealth.failureRate, standing)});
         }
     }
     trace.candidates = result.size();
@@ -345,7 +384,7 @@
         return endsBeforeStop(work, Duration::zero(), now);
     }
     const auto found = m_services.find(work.service);
-    const auto usable = found == m_services.end() ? 0 : found->second.usableServers();
+    const auto usable = found == m_services.end() ? 0 : usableServers(found->second, now);
     const double sharing =
         std::clamp(static_cast<double>(usable), 1.0, static_cast<double>(m_policy.engines.maximumHelpers));
     const double prefillMs = prefillTimeMs(*engine, static_cast<double>(work.promptTokens)) / sharing;
@@ -379,7 +418,7 @@
 std::optional<Instant> EntryPlacement::serverGapEnd(const std::string &service, Instant now)
 {
     const auto found = m_services.find(service);
-    if (found != m_services.end() && found->second.usableServers() > 0) {
+    if (found != m_services.end() && usableServers(found->second, now) > 0) {
         return std::nullopt;
     }
     return m_withoutServerSince.try_emplace(service, now).first->second + m_policy.longestServerGap;
@@ -451,16 +490,18 @@
         const auto &backendHealth = health(found->second.keys[i]);
         const auto placed = inFlight.find(found->second.keys[i]);
         const auto running = placed == inFlight.end() ? 0 : placed->second.size();
-        if (backend->leaving || contains(query.avoid, backend->id) || !backendHealth.breaker.permits(now)
-            || running >= backend->slots + m_policy.queueBeyondSlots) {
+        const auto standing = m_notices.standing(found->second.keys[i], now);
+        if (backend->leaving || contains(query.avoid, backend->id) || !takesRequests(standing)
+            || !backendHealth.breaker.permits(now) || running >= backend->slots + m_policy.queueBeyondSlots) {
             ++trace.excluded;
             continue;
         }
         ++trace.candidates;
         const double answerMs = backendHealth.answerMs > 0 ? backendHealth.answerMs : AssumedAnswerMs;
         const double queued = std::max(1.0, static_cast<double>(running + 1) / std::max(backend->slots, 1U));
-        const double score = answerMs * queued * (1 + FailurePenalty * backendHealth.failureRate)
-            * (1 + 0.1 * static_cast<double>(running));
+        const double failureRate = failureRateOf(backendHealth.failureRate, standing);
+        const double score =
+            answerMs * queued * (1 + FailurePenalty * failureRate) * (1 + 0.1 * static_cast<double>(running));
         if (!best || score < bestScore) {
             best = backend;
             bestScore = score;
@@ -494,6 +535,9 @@
     }
     const auto span = work.deadline - work.arrival;
     const auto latest = work.arrival + pomeloport::fromSeconds(pomeloport::seconds(span) * m_policy.maximumWaitShare);
+    if (const auto pauseEnd = commonPauseEnd(work.service, now)) {
+        return waitForPauseEnd(work, *pauseEnd, latest, now, trace);
+    }
     if (now + m_policy.recheckInterval < latest) {
         trace.waitLimit = gapEnd ? std::min(latest, *gapEnd) : latest;
         return WaitUntil{now + m_policy.recheckInterval};
@@ -502,6 +546,45 @@
     return Failure{Verdict::NotRun, ReasonCode::Overloaded, trace.reason, RetryAfterNoPlace};
 }
 
+std::optional<Instant> EntryPlacement::commonPauseEnd(const std::string &service, Instant now) const
+{
+    const auto found = m_services.find(service);
+    std::optional<Instant> result;
+    for (std::size_t i = 0; found != m_services.end() && i < found->second.backends.size(); ++i) {
+        const auto key = found->second.keys[i];
+        const auto standing = m_notices.standing(key, now);
+        if (found->second.backends[i]->leaving || standing == ServerNotices::Standing::Leaving) {
+            continue;
+        }
+        const auto end = m_notices.pausedUntil(key, now);
+        if (!end) {
+            return std::nullopt;
+        }
+        result = result ? std::min(*result, *end) : *end;
+    }
+    return result;
+}
+
+/// Lets a call wait for the end of a pause if it may wait for so long, and refuses it at once otherwise. The refused
+/// calls come back after the pause, spread over some time.
+RouteDecision EntryPlacement::waitForPauseEnd(const CallWork &work,
+                                              Instant end,
+                                              Instant latest,
+                                              Instant now,
+                                              PlacementTrace &trace) const
+{
+    trace.reason = "all backend servers want no requests for a time";
+    if (end < latest) {
+        trace.waitLimit = latest;
+        return WaitUntil{std::min(end, now + PausedRecheckInterval)};
+    }
+    const double leftMs = pomeloport::seconds(end - now) * MsPerSecond;
+    const double spreadMs = std::max(MinimumRetrySpreadMs, leftMs * RetrySpreadShare);
+    const auto retryAfter =
+        std::chrono::milliseconds(static_cast<std::int64_t>(leftMs + spreadMs * guaranteeDraw(work)) + 1);
+    return Failure{Verdict::NotRun, ReasonCode::Overloaded, trace.reason, retryAfter};
+}
+
 void EntryPlacement::opened(const CallWork &work,
                             std::uint32_t attempt,
                             const Route &route,
@@ -561,20 +644,23 @@
     for (const auto &part : item.parts) {
         health(part.backend).breaker.sent(now);
     }
+    m_notices.sent(item.parts.front().backend, now);
     countAttempt(item, now);
     m_ledger.close(itemKey(work, WaitingAttempt));
     m_ledger.open(std::move(item));
 }
 
-void EntryPlacement::answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now)
+bool EntryPlacement::answered(const CallWork &work, std::uint32_t attempt, const std::string &backend, Instant now)
 {
+    bool hasReturned = false;
     {
         const std::lock_guard lock(m_mutex);
         const auto key = itemKey(work, attempt);
         const auto found = m_ledger.own().find(key);
         if (found == m_ledger.own().end() || found->second.decoding) {
-            return;
+            return false;
         }
+        hasReturned = m_notices.answered(keyOf(backend), now);
         auto &backendHealth = health(keyOf(backend));
         backendHealth.breaker.succeeded(now);
         const double elapsedMs = pomeloport::seconds(now - found->second.startedAt) * 1000;
@@ -584,6 +670,7 @@
         m_ledger.firstEvent(key, now);
     }
     reportChange(WorkChange::Progress);
+    return hasReturned;
 }
 
 void EntryPlacement::closed(const CallWork &work,
@@ -678,6 +765,81 @@
     return found != m_state->backends.end() && !found->second.leaving;
 }
 
+EntryPlacement::NoticeOutcome EntryPlacement::noticed(std::uint32_t server,
+                                                      const ServerNotice &notice,
+                                                      NoticeSource source,
+                                                      Instant now)
+{
+    NoticeOutcome result;
+    {
+        const std::lock_guard lock(m_mutex);
+        result.change = m_notices.heard(server, notice, source, now);
+        result.pausedUntil = m_notices.pausedUntil(server, now);
+    }
+    if (result.change != ServerNotices::Change::None && source == NoticeSource::Answer) {
+        reportChange(WorkChange::Notice);
+    }
+    return result;
+}
+
+bool EntryPlacement::reportsWrongNotice(std::uint32_t server, Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_notices.reportsWrongValue(server, now);
+}
+
+std::vector<NoticeMessage> EntryPlacement::noticeMessages(Instant now)
+{
+    const std::lock_guard lock(m_mutex);
+    return m_notices.messages(now);
+}
+
+std::string EntryPlacement::nameOf(std::uint32_t server) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto service = m_serviceByKey.find(server);
+    if (service == m_serviceByKey.end()) {
+        return {};
+    }
+    const auto &view = m_services.at(service->second);
+    const auto position = std::ranges::find(view.keys, server) - view.keys.begin();
+    return view.backends.at(static_cast<std::size_t>(position))->id;
+}
+
+bool EntryPlacement::mayBeSent(const Route &route, Instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto permits = [this, now](const std::string &backend) {
+        const auto key = keyOf(backend);
+        return key == 0 || m_notices.mayGetRequests(key, now);
+    };
+    return permits(route.members.front().backend)
+        && std::ranges::all_of(route.helpers, [&permits](const auto &helper) { return permits(helper.backend); });
+}
+
+std::string EntryPlacement::noticeMetricsText(Instant now) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto counts = m_notices.counts(now);
+    std::string out = "# HELP pomelo_servers_leaving Backend servers that said that they leave.\n"
+                      "# TYPE pomelo_servers_leaving gauge\npomelo_servers_leaving "
+        + std::to_string(counts.leaving)
+        + "\n# HELP pomelo_servers_paused Backend servers that want no requests for a time.\n"
+          "# TYPE pomelo_servers_paused gauge\npomelo_servers_paused "
+        + std::to_string(counts.paused)
+        + "\n# HELP pomelo_server_pause_seconds Remaining time for which a backend server wants no requests.\n"
+          "# TYPE pomelo_server_pause_seconds gauge\n";
+    std::size_t listed = 0;
+    for (const auto &[id, backend] : m_state->backends) {
+        const auto until = m_notices.pausedUntil(backendKey(backend), now);
+        if (until && listed++ < MaximumListedServers) {
+            out += "pomelo_server_pause_seconds{server=\"" + id + "\"} "
+                + std::to_string(pomeloport::seconds(*until - now)) + "\n";
+        }
+    }
+    return out;
+}
+
 std::size_t EntryPlacement::inFlight() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libpomeloentry/entryplacement_test.cpp
+++ b/src/libpomeloentry/entryplacement_test.cpp
@@ -525,3 +525,116 @@
     // 105 passes of 40 ms and 10 ms of prefill.
     CHECK(fixture.placement.canFinish(work, Start));
 }
+
+// Guards against requests to a server that says in its answers that it leaves, or wants none for a time, while its
+// entry is still ready: first attempts, repeats and helpers of long prompts.
+TEST_CASE("servers that leave or are paused get no requests", "[entryplacement]")
+{
+    const bool engines = GENERATE(false, true);
+    const auto notice = GENERATE(ServerNotice{true, std::nullopt}, ServerNotice{false, Duration(4s)});
+    PlacementFixture fixture(3, engines);
+    const auto state = fleet(3, engines);
+    const auto key = backendKey(state->backends.at("i1"));
+    Route before{{{"i0", 0, 0}}};
+    before.helpers.push_back({"i1", {}});
+    CHECK(fixture.placement.mayBeSent(before, Start));
+    CHECK(fixture.placement.noticed(key, notice, NoticeSource::Answer, Start).change != ServerNotices::Change::None);
+    CHECK(fixture.placement.nameOf(key) == "i1");
+    CHECK_FALSE(fixture.placement.mayBeSent(before, Start));
+    CHECK_FALSE(fixture.placement.mayBeSent(Route{{{"i1", 0, 0}}}, Start));
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+        const auto work = engines ? prompt(i, 60'000) : plainCall(i);
+        const auto decision = fixture.choose(work);
+        const auto *route = std::get_if<Route>(&decision);
+        if (!route) {
+            continue;
+        }
+        CHECK(route->members.front().backend != "i1");
+        for (const auto &helper : route->helpers) {
+            CHECK(helper.backend != "i1");
+        }
+        fixture.placement.opened(work, 1, *route, {}, Start);
+    }
+    // An entry of the same incarnation that reads "ready" does not undo it; another incarnation begins anew.
+    fixture.placement.update(state, Start + 1s);
+    CHECK_FALSE(fixture.placement.mayBeSent(Route{{{"i1", 0, 0}}}, Start + 1s));
+    auto restarted = std::make_shared<FleetState>(*state);
+    restarted->backends.at("i1").startedAt = 2;
+    fixture.placement.update(restarted, Start + 2s);
+    CHECK(fixture.placement.mayBeSent(Route{{{"i1", 0, 0}}}, Start + 2s));
+}
+
+TEST_CASE("an entry that tells of leaving holds against a later one of the same incarnation", "[entryplacement]")
+{
+    PlacementFixture fixture(2);
+    auto leaving = std::make_shared<FleetState>(*fleet(2, false));
+    leaving->backends.at("i0").leaving = true;
+    fixture.placement.update(leaving, Start);
+    fixture.placement.update(fleet(2, false), Start + 1s);
+    CHECK(fixture.open(plainCall(1), Start + 1s) == "i1");
+    CHECK(fixture.open(plainCall(2), Start + 1s) == "i1");
+}
+
+// Load pattern: every server of a service turns requests away for four seconds, and callers go on coming.
+TEST_CASE("while all servers are paused calls wait for the end or are refused at once", "[entryplacement]")
+{
+    PlacementFixture fixture(2);
+    const auto state = fleet(2, false);
+    for (const auto &[name, backend] : state->backends) {
+        fixture.placement.noticed(backendKey(backend), {false, Duration(4s)}, NoticeSource::Answer, Start);
+    }
+    std::set<std::int64_t> retryTimes;
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+        const auto decision = fixture.choose(plainCall(i));
+        const auto *failure = std::get_if<Failure>(&decision);
+        REQUIRE(failure);
+        CHECK(failure->verdict == Verdict::NotRun);
+        REQUIRE(failure->retryAfter);
+        CHECK(*failure->retryAfter >= 4s);
+        CHECK(*failure->retryAfter <= 6s);
+        retryTimes.insert(failure->retryAfter->count());
+    }
+    CHECK(retryTimes.size() > 10);
+
+    auto patient = plainCall(30);
+    patient.deadline = Start + 20s;
+    const auto waits = fixture.choose(patient);
+    const auto *wait = std::get_if<WaitUntil>(&waits);
+    REQUIRE(wait);
+    CHECK(wait->at >= Start + 100ms);
+
+    // One server that is not paused takes all calls, also if it has asked others for a pause.
+    fixture.placement.update(fleet(3, false), Start);
+    const auto third = backendKey(fleet(3, false)->backends.at("i2"));
+    fixture.placement.noticed(third, {false, Duration(4s)}, NoticeSource::Peer, Start);
+    CHECK(fixture.open(plainCall(40)) == "i2");
+}
+
+TEST_CASE("a service whose servers all leave counts as one without servers", "[entryplacement]")
+{
+    PlacementFixture fixture(2);
+    const auto state = fleet(2, false);
+    for (const auto &[name, backend] : state->backends) {
+        fixture.placement.noticed(backendKey(backend), {true, std::nullopt}, NoticeSource::Peer, Start);
+    }
+    const auto first = fixture.choose(plainCall(1));
+    CHECK(std::holds_alternative<WaitUntil>(first));
+    CHECK(fixture.placement.lacksServers(plainCall(1), Start + 3s));
+    auto late = plainCall(2);
+    late.arrival = Start + 3s;
+    late.deadline = Start + 8s;
+    const auto refused = fixture.choose(late, {}, Start + 3s);
+    REQUIRE(std::holds_alternative<Failure>(refused));
+    CHECK(std::get<Failure>(refused).verdict == Verdict::NotRun);
+}
+
+TEST_CASE("a server that another instance was asked to spare comes after the others", "[entryplacement]")
+{
+    PlacementFixture fixture(2);
+    const auto key = backendKey(fleet(2, false)->backends.at("i0"));
+    fixture.placement.noticed(key, {false, Duration(4s)}, NoticeSource::Peer, Start);
+    CHECK(fixture.open(plainCall(1)) == "i1");
+    CHECK(fixture.open(plainCall(2)) == "i1");
+    CHECK(fixture.placement.noticeMessages(Start).empty());
+    CHECK(fixture.placement.noticeMetricsText(Start).find("pomelo_servers_leaving 0") != std::string::npos);
+}
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -302,7 +302,8 @@
     m_attempt.chunks = action.resumeFrom;
     const auto fleet = m_core->fleet.current();
     const auto found = fleet->backends.find(backendId);
-    if (found == fleet->backends.end()) {
+    // A group of engines is reserved for a while before the attempt is sent.
+    if (found == fleet->backends.end() || !m_core->placement.mayBeSent(action.route, now)) {
         m_pendingEvents.push_back(event::AttemptRefused{action.attempt, RefusalCode::Leaving});
         return;
     }
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -361,7 +361,7 @@
     }
     logChanges(*m_core->fleet.current(), *next);
     refreshCopies();
-    m_core->placement.update(next);
+    m_core->placement.update(next, steadyNow());
     m_core->fleet.publish(next);
     shareKnownChanges();
     if (announce) {
--- a/src/libpomeloentry/groupreservation.cpp
+++ b/src/libpomeloentry/groupreservation.cpp
@@ -86,11 +86,19 @@
 
 void GroupReservation::onTicketsAnswered(const std::string &failed)
 {
-    if (failed.empty()) {
+    const bool mayBeSent = m_core->placement.mayBeSent(m_route, steadyNow());
+    if (failed.empty() && mayBeSent) {
         completeWithRoute();
         return;
     }
-    m_request.avoid.push_back(failed);
+    if (!mayBeSent) {
+        logEvent(LogLevel::Info,
+                 "reservation_given_up",
+                 {{"id", m_request.attemptId}, {"detail", "an engine leaves or wants no requests for a time"}});
+    }
+    if (!failed.empty()) {
+        m_request.avoid.push_back(failed);
+    }
     std::exchange(m_tickets, nullptr)->release();
     replanOrRefuse();
 }
--- a/src/libpomeloentry/peermesh.cpp
+++ b/src/libpomeloentry/peermesh.cpp
@@ -1,5 +1,7 @@
 #include "peermesh.h"
 
+#include "noticelog.h"
+
 #include "pomeloport/lastreason.h"
 #include "pomeloport/logging.h"
 #include "pomeloport/protocol/compactarchive.h"
@@ -273,7 +275,7 @@
 
 void PeerMesh::onDatagram(const OwnerId &sender, const std::string &address, const std::string &payload)
 {
-    const auto message = pomeloport::detail::decodeCompact<PeerMessage>(payload);
+    const auto message = decodePeerMessage(payload);
     if (!message) {
         logEvent(LogLevel::Warning, "peer_message_unreadable", {{"peer", sender.instance}, {"address", address}});
         return;
@@ -301,6 +303,7 @@
         }
     }
     m_core->quarantine.merge(message->quarantine, now);
+    recordPeerNotices(*m_core, sender.instance, message->notices);
     if (message->exchangesWork) {
         m_core->placement.applyPeerReport(sender, message->work, now);
     } else {
@@ -336,6 +339,10 @@
 /// Reports changed work: new work at once, since the placement decisions of peers depend on it, other changes together.
 void PeerMesh::onWorkChanged(WorkChange change)
 {
+    if (change == WorkChange::Notice) {
+        sendNotices();
+        return;
+    }
     bool exchanges = false;
     {
         const std::lock_guard lock(m_mutex);
@@ -456,6 +463,23 @@
     }
 }
 
+/// Tells all instances that this one knows what backend servers said to it.
+void PeerMesh::sendNotices()
+{
+    auto notices = m_core->placement.noticeMessages(steadyNow());
+    if (notices.empty()) {
+        return;
+    }
+    std::vector<std::string> addresses;
+    {
+        const std::lock_guard lock(m_mutex);
+        addresses = m_peers.contacts(true);
+    }
+    auto outgoing = message();
+    outgoing.notices = std::move(notices);
+    send(outgoing, addresses);
+}
+
 /// Sends all work to the peers that exchange it, and to the other contacts only that this instance is alive.
 void PeerMesh::sendHeartbeat()
 {
@@ -477,6 +501,7 @@
         }
     }
     sendQuarantineChanges();
+    sendNotices();
     const auto quarantine = m_core->quarantine.fullReport(now);
     send(outgoing, quarantine, others);
     auto pieces = m_core->placement.fullReports(now);
@@ -520,7 +545,7 @@
 {
     auto combined = message;
     combined.quarantine = quarantine;
-    if (quarantine.empty() || pomeloport::detail::encodeCompact(combined).size() <= MaximumDatagramPayload) {
+    if (quarantine.empty() || encodePeerMessage(combined).size() <= MaximumDatagramPayload) {
         send(combined, addresses);
         return;
     }
@@ -535,7 +560,7 @@
     if (addresses.empty()) {
         return;
     }
-    const auto payload = pomeloport::detail::encodeCompact(message);
+    const auto payload = encodePeerMessage(message);
     for (const auto &address : addresses) {
         if (!m_socket->send(address, payload)) {
             logEvent(LogLevel::Warning, "peer_send_failed", {{"address", address}, {"detail", lastReason()}});
--- a/src/libpomeloentry/peermesh.h
+++ b/src/libpomeloentry/peermesh.h
@@ -74,6 +74,7 @@
     GatewayCandidate ownGatewayCandidate() const;
     std::uint32_t processorMilli() const;
     void recordHeartbeatTime(Instant now);
+    void sendNotices();
     void send(const PeerMessage &message, const std::vector<std::string> &addresses);
     void send(const PeerMessage &message,
               const QuarantineReport &quarantine,
--- a/src/libpomeloentry/peertable.cpp
+++ b/src/libpomeloentry/peertable.cpp
@@ -1,10 +1,34 @@
 #include "pomeloentry/peertable.h"
 
+#include "pomeloport/protocol/compactarchive.h"
+
 #include <algorithm>
 
 namespace pomeloentry
 {
 
+std::string encodePeerMessage(const PeerMessage &message)
+{
+    auto result = pomeloport::detail::encodeCompact(message);
+    if (!message.notices.empty()) {
+        result += pomeloport::detail::encodeCompact(message.notices);
+    }
+    return result;
+}
+
+std::optional<PeerMessage> decodePeerMessage(std::string_view bytes)
+{
+    auto message = pomeloport::detail::takeCompact<PeerMessage>(bytes);
+    if (message && !bytes.empty()) {
+        auto notices = pomeloport::detail::decodeCompact<std::vector<NoticeMessage>>(bytes);
+        if (!notices) {
+            return std::nullopt;
+        }
+        message->notices = std::move(*notices);
+    }
+    return message;
+}
+
 bool isLive(const PeerView &peer, Instant now)
 {
     return now - peer.heardAt <= (peer.exchangesWork ? PeerTable::WorkingSilence : PeerTable::IdleSilence);
--- a/src/libpomeloentry/peertable_test.cpp
+++ b/src/libpomeloentry/peertable_test.cpp
@@ -49,6 +49,26 @@
     CHECK(table.contacts(true).empty());
 }
 
+// Instances of two versions work side by side while a fleet is updated.
+TEST_CASE("a message without notices is the same as in versions without them", "[peertable]")
+{
+    auto sent = message(EntryState::Ready);
+    CHECK(encodePeerMessage(sent) == pomeloport::detail::encodeCompact(sent));
+    CHECK(decodePeerMessage(encodePeerMessage(sent))->notices.empty());
+    sent.notices = {{7, true, 0}, {9, false, 4000}};
+    const auto bytes = encodePeerMessage(sent);
+    const auto received = decodePeerMessage(bytes);
+    REQUIRE(received);
+    REQUIRE(received->notices.size() == 2);
+    CHECK(received->notices[0].leaving);
+    CHECK(received->notices[1].server == 9);
+    CHECK(received->notices[1].pauseMs == 4000);
+    CHECK(received->description->callerAddress == sent.description->callerAddress);
+    CHECK_FALSE(decodePeerMessage(bytes + "x"));
+    CHECK_FALSE(decodePeerMessage(bytes.substr(0, bytes.size() - 1)));
+    CHECK_FALSE(decodePeerMessage(""));
+}
+
 // In a fleet of several failure domains, each instance used to send heartbeats to all others, so that the messages of
 // the fleet grew with the square of its size.
 TEST_CASE("only instances that exchange work keep contact across failure domains", "[peertable]")
--- a/src/libpomeloentry/sessionanswers.cpp
+++ b/src/libpomeloentry/sessionanswers.cpp
@@ -1,4 +1,5 @@
 #include "entrysession.h"
+#include "noticelog.h"
 
 #include "pomeloport/logging.h"
 
@@ -58,6 +59,9 @@
         failAttempt("the answer belongs to another request");
         return;
     }
+    if (!answer.identityMismatch) {
+        recordNotice(*m_core, m_attempt.backend, m_attempt.backendKey, answer.notice, m_call.request.attemptId);
+    }
     if (isRefusal) {
         handleRefusal("status " + std::to_string(m_attempt.head.status));
         return;
@@ -186,7 +190,9 @@
 void EntrySession::recordAnswer()
 {
     const auto now = steadyNow();
-    m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, now);
+    if (m_core->placement.answered(m_call.work, m_attempt.number, m_attempt.backend, now)) {
+        logServerReturned(m_attempt.backend, m_call.request.attemptId);
+    }
     if (m_call.promptAtEngine && isSuccess(m_attempt.head.status)) {
         m_core->quarantine.answered(m_attempt.backendKey, m_call.request.sharedParts, m_attempt.startedAt, now);
     }
--- a/src/libpomeloentry/ticketholder.cpp
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -1,5 +1,7 @@
 #include "ticketholder.h"
 
+#include "noticelog.h"
+
 #include "pomeloentry/wire.h"
 
 #include "pomeloport/logging.h"
@@ -18,6 +20,7 @@
 {
 
 constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusMisdirected = 421;
 /// Time-out of an order to an engine: a few round trips.
 constexpr std::chrono::milliseconds AnswerTimeout{400};
 /// Hold time as a share of the configured reservation timeout. The memory that a dead process reserved is freed only
@@ -27,6 +30,19 @@
 constexpr int RenewalsPerHold = 3;
 constexpr int ReleaseAttempts = 3;
 
+/// Records what the answer to an order or a call for a report says of its engine. One that another server gave, which
+/// has the address now, says nothing of the engine.
+void recordAnswerNotice(EntryCore &core, const Ticket &ticket, const std::optional<HttpReply> &reply)
+{
+    const auto fleet = core.fleet.current();
+    const auto found = fleet->backends.find(ticket.backend);
+    if (reply && reply->status != StatusMisdirected && found != fleet->backends.end()
+        && found->second.address == ticket.address) {
+        const auto notice = wire::decodeNotice(reply->status, reply->fields);
+        recordNotice(core, ticket.backend, backendKey(found->second), notice, ticket.name);
+    }
+}
+
 std::vector<std::string> namesOf(const std::vector<Ticket> &tickets)
 {
     std::vector<std::string> result;
@@ -72,6 +88,7 @@
         auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
         call.timeout = AnswerTimeout;
         m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
+            recordAnswerNotice(*self->m_core, ticket, reply);
             const bool granted = reply && reply->status == StatusOk;
             const auto status = reply ? reply->status : 0;
             logEvent(LogLevel::Info,
@@ -113,7 +130,8 @@
     for (const auto &ticket : m_tickets) {
         auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
         call.timeout = AnswerTimeout;
-        m_core->client.send(std::move(call), [ticket](auto reply, bool) {
+        m_core->client.send(std::move(call), [core = m_core, ticket](auto reply, bool) {
+            recordAnswerNotice(*core, ticket, reply);
             if (!reply || reply->status != StatusOk) {
                 logEvent(LogLevel::Warning,
                          "ticket_not_renewed",
@@ -149,6 +167,7 @@
     auto call = wire::encodeReportCall(ticket.address);
     call.timeout = AnswerTimeout;
     m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
+        recordAnswerNotice(*self->m_core, ticket, reply);
         const auto used = reply && reply->status == StatusOk ? wire::decodeUsedReservations(reply->body) : std::nullopt;
         logEvent(LogLevel::Info,
                  "ticket_report",
--- a/src/libpomeloport/requeststory.cpp
+++ b/src/libpomeloport/requeststory.cpp
@@ -15,12 +15,19 @@
                                            "dependency_lost",
                                            "dependency_regained",
                                            "state_from_peer",
+                                           "removals_delayed",
                                            "started",
                                            "stop",
                                            "reload",
                                            "log_dropped"};
 /// Events about one backend server, relevant only for requests that were sent to it.
-const std::set<std::string> BackendEvents{"backend", "backend_gone", "backend_unreadable"};
+const std::set<std::string> BackendEvents{"backend",
+                                          "backend_gone",
+                                          "backend_unreadable",
+                                          "server_leaving",
+                                          "server_paused",
+                                          "server_returned",
+                                          "server_notice_ignored"};
 
 } // namespace
 
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -150,7 +150,11 @@
         if (m_parser.get().keep_alive() && m_buffer.size() == 0) {
             m_pool->release(m_call.address, std::move(m_socket));
         }
-        finish(HttpReply{m_parser.get().result_int(), std::move(m_parser.get().body())});
+        HttpReply reply{m_parser.get().result_int(), std::move(m_parser.get().body()), {}};
+        for (const auto &field : m_parser.get()) {
+            reply.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        finish(std::move(reply));
     }
 
     void finish(std::optional<HttpReply> reply)
