--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -24,7 +24,7 @@
         kinds = [
             self.kill_entry, self.term_entry, self.pause_entry, self.kill_runner, self.pause_runner,
             self.disrupt_runner_link, self.store_outage, self.pause_store, self.disrupt_store_links, self.revoke_key,
-            self.add_route, self.drain_runner,
+            self.add_route, self.drain_runner, self.leave_runner, self.turn_away,
         ]  # fmt: skip
         while now() < until:
             kind = self.random.choice(kinds)
@@ -130,6 +130,25 @@
         self.world.runner_proxies[index].heal()
         self.busy.discard(f"runner {index}")
 
+    async def turn_away(self):
+        """Makes a backend server turn requests away and ask for a pause."""
+        index, name, process = self.reserve_runner()
+        if process is None:
+            return
+        self.note("turn away", name)
+        process.send_signal(signal.SIGUSR2)
+        await asyncio.sleep(2)
+        self.busy.discard(f"runner {index}")
+
+    async def leave_runner(self):
+        """Makes a backend server say that it leaves in its answers alone, then stops it and starts a replacement."""
+        index, name, process = self.reserve_runner()
+        if process is None:
+            return
+        self.note("leave", name)
+        process.send_signal(signal.SIGUSR1)
+        await self.replace_runner(index, name, process)
+
     async def drain_runner(self):
         """Announces a backend server as draining, lets it serve on for 4.5 s, stops it, and starts a replacement."""
         index, name, process = self.reserve_runner()
@@ -140,6 +159,9 @@
             self.busy.discard(f"runner {index}")
             return
         self.world.drained[name] = now()
+        await self.replace_runner(index, name, process)
+
+    async def replace_runner(self, index, name, process):
         await asyncio.sleep(4.5)
         await self.retry_store_call(lambda: self.world.store_call("POST", f"/remove?kind=servers&name={name}"))
         await process.end()
