End the lease of an unused reservation before the idle limit

Cause, as the review supposed: a holder renews an unused reservation for the usual time until it gives it up, and may die, or its order to free the memory may get lost, just after a renewal. The lease then ends up to 10.75 s after the reservation. It is now cut so that it ends at 0.95 of the limit. Reservations in use are renewed as before.

Before: the test in virtual time, a death at each 10 ms, fails with renewals of the usual length. After: it passes.

--- a/src/include/pomeloentry/reservationuse.h
+++ b/src/include/pomeloentry/reservationuse.h
@@ -39,6 +39,10 @@
 
     Step step(Instant now) const;
 
+    /// For how long to renew a reservation at this time: as usual if it is in use. Otherwise its lease ends before the
+    /// limit, since its holder may die before it frees the memory; zero if there is no time left.
+    Duration holdTime(const std::string &ticket, Duration usual, Instant now) const;
+
 private:
     std::vector<std::string> m_unused;
     Instant m_reservedAt;
--- a/src/libpomeloentry/reservationuse.cpp
+++ b/src/libpomeloentry/reservationuse.cpp
@@ -12,6 +12,8 @@
 /// covers the time of closing the attempt and freeing the memory.
 constexpr double CheckShare = 0.5;
 constexpr double GiveUpShare = 0.75;
+/// Share of the idle limit at which the lease of an unused reservation ends. The rest covers the way to the engine.
+constexpr double LeaseEndShare = 0.95;
 
 } // namespace
 
@@ -37,6 +39,15 @@
     return m_unused;
 }
 
+Duration ReservationUse::holdTime(const std::string &ticket, Duration usual, Instant now) const
+{
+    if (std::ranges::find(m_unused, ticket) == m_unused.end()) {
+        return usual;
+    }
+    const auto leaseEnd = m_reservedAt + pomeloport::fromSeconds(pomeloport::seconds(m_idleLimit) * LeaseEndShare);
+    return std::clamp(Duration(leaseEnd - now), Duration::zero(), usual);
+}
+
 ReservationUse::Step ReservationUse::step(Instant now) const
 {
     const auto share = pomeloport::seconds(now - m_reservedAt) / pomeloport::seconds(m_idleLimit);
--- a/src/libpomeloentry/ticketholder.cpp
+++ b/src/libpomeloentry/ticketholder.cpp
@@ -127,8 +127,14 @@
 
 void TicketHolder::renew()
 {
+    const auto now = steadyNow();
     for (const auto &ticket : m_tickets) {
-        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
+        const auto hold =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_use.holdTime(ticket.name, m_holdTime, now));
+        if (hold <= std::chrono::milliseconds::zero()) {
+            continue;
+        }
+        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, hold});
         call.timeout = AnswerTimeout;
         m_core->client.send(std::move(call), [core = m_core, ticket](auto reply, bool) {
             recordAnswerNotice(*core, ticket, reply);
--- a/src/libpomeloentry/ticketholder_test.cpp
+++ b/src/libpomeloentry/ticketholder_test.cpp
@@ -62,6 +62,29 @@
     CHECK(unusedEngine("held", false) == "e");
 }
 
+// Guards against memory that stays reserved without use beyond the bound: the holder renews the reservation and is
+// killed, or its order to free the memory gets lost, so that the memory is only freed when the lease ends.
+TEST_CASE("the lease of an unused reservation ends before the idle limit, whenever its holder dies", "[ticketholder]")
+{
+    constexpr auto IdleLimit = 9s;
+    constexpr Duration Hold = 3s;
+    for (auto diesAt = Start; diesAt < Start + 12s; diesAt += 10ms) {
+        ReservationUse use({"a", "b"}, Start, IdleLimit);
+        auto leaseEnd = Start + Hold;
+        for (auto now = Start + Hold / 3; now <= diesAt && use.step(now) != Step::GiveUp; now += Hold / 3) {
+            leaseEnd = std::max(leaseEnd, now + use.holdTime("a", Hold, now));
+        }
+        REQUIRE(leaseEnd < Start + IdleLimit);
+        REQUIRE(leaseEnd >= std::min(diesAt + Hold / 3, Start + 7s));
+    }
+    ReservationUse use({"a", "b"}, Start, IdleLimit);
+    use.reported({"b"});
+    CHECK(use.holdTime("b", Hold, Start + 20s) == Hold);
+    CHECK(use.holdTime("a", Hold, Start + 20s) == Duration::zero());
+    use.answered();
+    CHECK(use.holdTime("a", Hold, Start + 20s) == Hold);
+}
+
 TEST_CASE("a slow prefill that uses its reservation is not given up", "[ticketholder]")
 {
     ReservationUse use({"a"}, Start, 9s);
