Limit the memory for bodies of requests and for incomplete answers together

Cause: each call was bounded and their sum was not; each attempt copied its body, and the allocator kept freed blocks. MemoryBudget limits bodies to 0.3 and incomplete answers and events to 0.2 of limits.memoryMb. Small ones are not counted.

--- a/src/include/pomeloentry/entrysettings.h
+++ b/src/include/pomeloentry/entrysettings.h
@@ -34,6 +34,8 @@
     bool isSeed = false;
     /// Address of the platform's store.
     std::string storeAddress;
+    /// Memory that the process may use, in bytes; zero if there is no limit.
+    std::size_t memoryBytes = 0;
     /// Threads that serve requests.
     std::uint32_t threads = 1;
     /// Time between SIGTERM and SIGKILL.
--- a/src/include/pomeloport/transport/callstream.h
+++ b/src/include/pomeloport/transport/callstream.h
@@ -86,7 +86,8 @@
     std::string target;
     /// Header fields other than those that frame the body.
     HttpFields fields;
-    std::string body;
+    /// Shared between the attempts of a request; null for an empty body.
+    std::shared_ptr<const std::string> body;
     /// A pooled connection is reused only if it was idle for at most this long; zero forces a new connection.
     std::chrono::milliseconds maximumIdle = std::chrono::minutes(1);
     /// Whether a response belongs to this call. On a reused connection, responses that do not are read and discarded,
--- a/src/include/pomeloport/transport/httpserver.h
+++ b/src/include/pomeloport/transport/httpserver.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloport/memorybudget.h"
 #include "pomeloport/transport/httpmessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -60,8 +61,8 @@
 class HttpExchange
 {
 public:
-    /// For use by the server only.
-    HttpExchange(std::shared_ptr<detail::HttpConnection> connection, HttpRequest request);
+    /// For use by the server only. The share covers the body, which may live until the end of the exchange.
+    HttpExchange(std::shared_ptr<detail::HttpConnection> connection, HttpRequest request, MemoryShare memory);
     ~HttpExchange();
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
@@ -110,6 +111,7 @@
 private:
     std::shared_ptr<detail::HttpConnection> m_connection;
     HttpRequest m_request;
+    MemoryShare m_memory;
     std::uint64_t m_number;
 };
 
@@ -143,6 +145,11 @@
     /// Replaces the limits, including those of open connections.
     void setLimits(HttpLimits limits);
 
+    /// Sets the budget for request bodies, and the handler of requests whose body finds no place in it. Such a request
+    /// waits for a place for a short time, unread; then the handler gets it with an incomplete body, answers it at
+    /// once, and the connection is closed. Small bodies are not counted. Call before the first connection.
+    void limitMemory(std::shared_ptr<MemoryBudget> budget, HttpHandler refuse);
+
     /// Sends "Connection: close" with every reply from now on.
     void closeAfterReply();
 
--- a/src/libpomeloentry/entry.cpp
+++ b/src/libpomeloentry/entry.cpp
@@ -40,6 +40,8 @@
 /// request arrives on it.
 constexpr double IdleTimeoutFactor = 1.25;
 
+/// Retry-After of requests that are refused for want of memory.
+constexpr std::chrono::milliseconds RetryAfterNoMemory{300};
 /// Share of the common retry budget that is used; the rest covers retries of peers whose reports were not received.
 constexpr double RetryBudgetShare = 0.7;
 
@@ -66,6 +68,17 @@
     return policy;
 }
 
+std::shared_ptr<MemoryBudget> EntryCore::budgetOf(const EntrySettings &settings,
+                                                  double share,
+                                                  std::optional<double> multipleOfFree)
+{
+    if (settings.memoryBytes == 0) {
+        return std::make_shared<MemoryBudget>();
+    }
+    const auto bytes = static_cast<double>(settings.memoryBytes) * share;
+    return std::make_shared<MemoryBudget>(static_cast<std::size_t>(bytes), multipleOfFree);
+}
+
 struct Entry::Implementation : std::enable_shared_from_this<Implementation>
 {
     explicit Implementation(std::shared_ptr<EntryCore> entryCore)
@@ -93,6 +106,9 @@
                 });
         };
         callers = open(settings.callerAddress, &Implementation::serveCaller);
+        if (callers) {
+            callers->limitMemory(core->bodyMemory, [](const Exchange &exchange) { refuseForMemory(*exchange); });
+        }
         readiness = callers ? open(settings.readinessAddress, &Implementation::serveReadiness) : nullptr;
         discovery = readiness ? open(settings.discoveryAddress, &Implementation::serveDiscovery) : nullptr;
         peers = discovery ? open(settings.peerAddress, &Implementation::servePeer) : nullptr;
@@ -153,6 +169,18 @@
         std::make_shared<EntrySession>(core, exchange, std::move(call))->start();
     }
 
+    /// Refuses a request whose body found no place in memory.
+    static void refuseForMemory(HttpExchange &exchange)
+    {
+        const auto decoded = wire::decodeRequest(exchange.request());
+        sendRefusal(exchange,
+                    {StatusUnavailable,
+                     ReasonCode::Overloaded,
+                     "no memory for the body of the request",
+                     decoded ? decoded->attemptId : std::string(),
+                     RetryAfterNoMemory});
+    }
+
     void serveReadiness(const Exchange &exchange)
     {
         const bool ready = wire::isReadiness(exchange->request()) && mesh->state() == EntryState::Ready;
@@ -197,13 +225,30 @@
         if (exchange->request().path == "/metrics") {
             exchange->reply(StatusOk,
                             "text/plain; version=0.0.4",
-                            core->metrics.text() + core->quarantine.metricsText()
+                            core->metrics.text() + core->quarantine.metricsText() + memoryMetricsText()
                                 + core->placement.noticeMetricsText(steadyNow()));
             return;
         }
         exchange->reply(StatusNotFound, "text/plain", "not found\n");
     }
 
+    /// Use of the memory budgets in the Prometheus text format.
+    std::string memoryMetricsText() const
+    {
+        const std::pair<const char *, const MemoryBudget *> budgets[] = {{"bodies", core->bodyMemory.get()},
+                                                                         {"answers", core->answerMemory.get()}};
+        std::string used = "# HELP pomelo_memory_bytes Memory taken for bodies of requests and incomplete answers.\n"
+                           "# TYPE pomelo_memory_bytes gauge\n";
+        std::string refusals = "# HELP pomelo_memory_refusals_total Times at which that memory was refused.\n"
+                               "# TYPE pomelo_memory_refusals_total counter\n";
+        for (const auto &[name, budget] : budgets) {
+            const auto label = std::string("{kind=\"") + name + "\"} ";
+            used += "pomelo_memory_bytes" + label + std::to_string(budget->used()) + "\n";
+            refusals += "pomelo_memory_refusals_total" + label + std::to_string(budget->refusals()) + "\n";
+        }
+        return used + refusals;
+    }
+
     void shutDown(std::function<void()> callback)
     {
         boost::asio::dispatch(strand, [self = shared_from_this(), callback = std::move(callback)]() mutable {
--- a/src/libpomeloentry/entrycore.h
+++ b/src/libpomeloentry/entrycore.h
@@ -7,6 +7,7 @@
 #include "pomeloentry/entrysettings.h"
 #include "pomeloentry/routing.h"
 
+#include "pomeloport/memorybudget.h"
 #include "pomeloport/protocol/identity.h"
 #include "pomeloport/state/published.h"
 #include "pomeloport/transport/httpclient.h"
@@ -39,6 +40,8 @@
         , fleet(std::make_shared<const FleetState>())
         , placement(policyOf(settings), std::hash<std::string>{}(settings.instance))
         , quarantine(settings.policy.quarantine)
+        , bodyMemory(budgetOf(settings, BodyMemoryShare))
+        , answerMemory(budgetOf(settings, AnswerMemoryShare, AnswerMultipleOfFree))
         , client(ioContext)
         , metrics(MaximumOrganisations)
     {
@@ -47,7 +50,18 @@
     /// Returns the placement policy with the retry budget from the settings.
     static EntryPolicy policyOf(const EntrySettings &settings);
 
+    /// Returns a budget of a share of the memory that the process may use.
+    static std::shared_ptr<pomeloport::MemoryBudget> budgetOf(const EntrySettings &settings,
+                                                              double share,
+                                                              std::optional<double> multipleOfFree = std::nullopt);
+
     static constexpr std::size_t MaximumOrganisations = 200;
+    /// Shares of the process's memory for bodies of requests, and for answers and events that are not complete. The
+    /// rest is for everything else, and for what the allocator holds back.
+    static constexpr double BodyMemoryShare = 0.3;
+    static constexpr double AnswerMemoryShare = 0.2;
+    /// One answer may take as many bytes as half of those that stay free.
+    static constexpr double AnswerMultipleOfFree = 0.5;
 
     boost::asio::io_context &context;
     const EntrySettings settings;
@@ -55,6 +69,8 @@
     pomeloport::Published<FleetState> fleet;
     EntryPlacement placement;
     SharedQuarantine quarantine;
+    const std::shared_ptr<pomeloport::MemoryBudget> bodyMemory;
+    const std::shared_ptr<pomeloport::MemoryBudget> answerMemory;
     pomeloport::HttpClient client;
     pomelorouter::RequestMetrics metrics;
     std::atomic<std::uint64_t> nextSequence{1};
--- a/src/libpomeloentry/entrysession.cpp
+++ b/src/libpomeloentry/entrysession.cpp
@@ -77,7 +77,7 @@
     : m_core(std::move(core))
     , m_exchange(std::move(exchange))
     , m_call(std::move(call))
-    , m_body(m_exchange->takeBody())
+    , m_body(std::make_shared<const std::string>(m_exchange->takeBody()))
     , m_executor(m_exchange->executor())
     , m_timer(m_executor)
     , m_flow(
@@ -299,6 +299,7 @@
     m_attempt.number = action.attempt;
     m_attempt.backend = backendId;
     m_attempt.startedAt = now;
+    m_attempt.memory = MemoryShare(m_core->answerMemory);
     m_attempt.chunks = action.resumeFrom;
     const auto fleet = m_core->fleet.current();
     const auto found = fleet->backends.find(backendId);
--- a/src/libpomeloentry/entrysession.h
+++ b/src/libpomeloentry/entrysession.h
@@ -94,6 +94,8 @@
         wire::BackendAnswer answer;
         EventSplitter events;
         std::string body;
+        /// Share of the answer that is buffered in the memory for answers.
+        pomeloport::MemoryShare memory;
         std::uint64_t chunks = 0;
         /// Whether the first event, or the whole answer of a call without events, has arrived.
         bool answered = false;
@@ -117,6 +119,7 @@
     void recordCrash();
     void handleRefusal(const std::string &detail);
     bool isStreaming() const;
+    bool holdsMemory(std::size_t bytes);
     std::chrono::milliseconds maximumIdle(const std::string &address);
     void deliver(std::string bytes);
     void onWritten(std::size_t bytes, bool ok);
@@ -130,7 +133,7 @@
     std::shared_ptr<EntryCore> m_core;
     std::shared_ptr<pomeloport::HttpExchange> m_exchange;
     AdmittedCall m_call;
-    std::string m_body;
+    std::shared_ptr<const std::string> m_body;
     boost::asio::strand<boost::asio::io_context::executor_type> m_executor;
     boost::asio::steady_timer m_timer;
     pomeloport::RequestFlow m_flow;
@@ -139,6 +142,7 @@
     /// Failure answer of a backend server, passed to the caller if no later attempt succeeds.
     std::optional<pomeloport::HttpResponseHead> m_failureHead;
     std::string m_failureBody;
+    pomeloport::MemoryShare m_failureMemory;
     StreamPosition m_position;
     /// Id of the event whose chunk the flow currently decides to deliver or drop.
     std::optional<std::uint64_t> m_pendingEventId;
--- a/src/libpomeloentry/eventsplitter.cpp
+++ b/src/libpomeloentry/eventsplitter.cpp
@@ -104,6 +104,11 @@
     return m_overflowed;
 }
 
+std::size_t EventSplitter::bufferedBytes() const
+{
+    return m_buffer.empty() ? 0 : m_buffer.capacity();
+}
+
 bool EventSplitter::hasPartialEvent() const
 {
     return !m_buffer.empty();
--- a/src/libpomeloentry/eventsplitter.h
+++ b/src/libpomeloentry/eventsplitter.h
@@ -59,6 +59,9 @@
     /// Whether an event exceeded the maximum size. Nothing more is returned then.
     bool overflowed() const;
 
+    /// Memory of the buffer, which holds the beginning of an incomplete event.
+    std::size_t bufferedBytes() const;
+
     /// Whether the buffer holds the beginning of an incomplete event.
     bool hasPartialEvent() const;
 
--- a/src/libpomeloentry/sessionanswers.cpp
+++ b/src/libpomeloentry/sessionanswers.cpp
@@ -19,6 +19,8 @@
 constexpr unsigned StatusServerError = 500;
 /// Limit on answers without events, which are buffered until they are complete.
 constexpr std::size_t MaximumBufferedAnswerBytes = 16 * 1024 * 1024;
+/// Answers and events up to this size are not counted, so that small ones go on beside large ones.
+constexpr std::size_t UncountedAnswerBytes = 16 * 1024;
 
 bool isSuccess(unsigned status)
 {
@@ -83,15 +85,37 @@
 {
     if (isStreaming()) {
         processEvents(m_attempt.events.feed(event.bytes));
-        if (m_attempt.events.overflowed() && !m_attempt.closed && !m_finished) {
+        if (m_attempt.closed || m_finished) {
+            return;
+        }
+        if (m_attempt.events.overflowed()) {
             failAttempt("an event exceeds 1 MiB");
+        } else if (!holdsMemory(m_attempt.events.bufferedBytes())) {
+            failAttempt("no memory for the rest of an event");
         }
         return;
     }
-    m_attempt.body += event.bytes;
-    if (m_attempt.body.size() > MaximumBufferedAnswerBytes) {
+    auto &body = m_attempt.body;
+    const auto size = body.size() + event.bytes.size();
+    if (size > MaximumBufferedAnswerBytes) {
         failAttempt("the answer exceeds 16 MiB");
+        return;
     }
+    if (size > body.capacity()) {
+        const auto capacity = size + size / 2;
+        if (!holdsMemory(capacity)) {
+            failAttempt("no memory for the rest of the answer");
+            return;
+        }
+        body.reserve(capacity);
+    }
+    body += event.bytes;
+}
+
+/// Takes memory for what the current attempt buffers. Returns false if there is not enough.
+bool EntrySession::holdsMemory(std::size_t bytes)
+{
+    return m_attempt.memory.resize(bytes > UncountedAnswerBytes ? bytes : 0);
 }
 
 void EntrySession::onStreamEvent(callevent::Drained & /*event*/)
@@ -118,6 +142,7 @@
     if (status >= StatusServerError) {
         m_failureHead = m_attempt.head;
         m_failureBody = std::move(m_attempt.body);
+        m_failureMemory = std::move(m_attempt.memory);
         failAttempt("status " + std::to_string(status));
         return;
     }
@@ -234,6 +259,9 @@
     if (m_attempt.stream) {
         m_attempt.stream->close();
     }
+    m_attempt.body = {};
+    m_attempt.events = {};
+    m_attempt.memory.resize(0);
     feed(event::AttemptBroken{m_attempt.number});
 }
 
--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -86,8 +86,11 @@
     {
         m_requestHead = m_call.method + " " + m_call.target + " HTTP/1.1\r\n";
         appendFields(m_requestHead, m_call.fields);
-        if (!m_call.body.empty() || mayHaveBody(m_call.method)) {
-            m_requestHead += "Content-Length: " + std::to_string(m_call.body.size()) + "\r\n";
+        if (!m_call.body) {
+            m_call.body = std::make_shared<const std::string>();
+        }
+        if (!m_call.body->empty() || mayHaveBody(m_call.method)) {
+            m_requestHead += "Content-Length: " + std::to_string(m_call.body->size()) + "\r\n";
         }
         m_requestHead += "\r\n";
     }
@@ -178,7 +181,7 @@
             return;
         }
         m_writing = true;
-        const std::array<asio::const_buffer, 2> parts{asio::buffer(m_requestHead), asio::buffer(m_call.body)};
+        const std::array<asio::const_buffer, 2> parts{asio::buffer(m_requestHead), asio::buffer(*m_call.body)};
         asio::async_write(
             *m_socket, parts, onExecutor([self = shared_from_this()](error_code error, std::size_t bytes) {
                 self->written(error, bytes);
@@ -201,7 +204,7 @@
         }
         // A write error is not reported here, because a server may reject a call before reading all of it. The response
         // or the read error determines the outcome.
-        m_call.body = {};
+        m_call.body = nullptr;
     }
 
     void startParser()
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -5,6 +5,9 @@
 #include <catch2/catch.hpp>
 
 #include <future>
+#include <mutex>
+#include <thread>
+#include <vector>
 
 using namespace pomeloport;
 namespace asio = boost::asio;
@@ -50,6 +53,62 @@
     REQUIRE_THAT(fixture.sendRaw("GET /x?a=1 HTTP/1.1\r\nConnection: close\r\n\r\n"), Catch::EndsWith("GET /x "));
 }
 
+// Guards against a process that is killed with all its requests because it keeps the bodies of those that wait.
+TEST_CASE("request bodies share a budget, and one that finds no place is refused unread")
+{
+    std::mutex mutex;
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    ServerFixture fixture([&](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().path == "/held") {
+            const std::lock_guard lock(mutex);
+            held.push_back(exchange);
+            return;
+        }
+        exchange->reply(200, "text/plain", std::to_string(exchange->request().body.size()));
+    });
+    const auto budget = std::make_shared<MemoryBudget>(200'000);
+    fixture.server->limitMemory(budget, [](const std::shared_ptr<HttpExchange> &exchange) {
+        exchange->reply(HttpResponseHead{503, "", {{"Retry-After", "1"}}}, exchange->request().path);
+    });
+    const auto sized = [](const std::string &path, std::size_t bytes) {
+        return "POST " + path + " HTTP/1.1\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+            + std::string(bytes, 'b');
+    };
+    const auto chunked = [](std::size_t bytes) {
+        std::string text = "POST /chunked HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        for (std::size_t sent = 0; sent < bytes; sent += 1000) {
+            text += "3e8\r\n" + std::string(1000, 'b') + "\r\n";
+        }
+        return text + "0\r\n\r\n";
+    };
+    auto waiting = fixture.connect();
+    boost::asio::write(waiting, boost::asio::buffer(sized("/held", 150'000)));
+    while (budget->used() < 150'000) {
+        std::this_thread::yield();
+    }
+    const auto refused = fixture.sendRaw(sized("/large", 100'000));
+    REQUIRE_THAT(refused, Catch::StartsWith("HTTP/1.1 503"));
+    REQUIRE_THAT(refused, Catch::Contains("Retry-After: 1"));
+    REQUIRE_THAT(refused, Catch::EndsWith("/large"));
+    REQUIRE_THAT(fixture.sendRaw(chunked(150'000)), Catch::StartsWith("HTTP/1.1 503"));
+    REQUIRE_THAT(fixture.sendRaw(chunked(30'000)), Catch::EndsWith("30000"));
+    REQUIRE_THAT(fixture.sendRaw("POST /small HTTP/1.1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc"),
+                 Catch::EndsWith("3"));
+    REQUIRE(budget->peak() <= 200'000);
+
+    // A place that becomes free in time is used.
+    std::thread releasing([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        const std::lock_guard lock(mutex);
+        held.front()->reply(200, "text/plain", "done");
+        held.clear();
+    });
+    auto large = sized("/large", 100'000);
+    large.insert(large.find("Content-Length"), "Connection: close\r\n");
+    REQUIRE_THAT(fixture.sendRaw(large), Catch::EndsWith("100000"));
+    releasing.join();
+}
+
 TEST_CASE("an HTTP client reuses connections and replaces one that the server closed")
 {
     ServerFixture fixture(echoRequest);
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -24,6 +24,14 @@
 constexpr unsigned HttpVersion11 = 11;
 constexpr std::size_t LingerBytes = 16 * 1024 * 1024;
 constexpr std::chrono::milliseconds LingerTimeout{2000};
+/// Bodies up to this size are not counted, so that small requests go on while large ones wait for memory.
+constexpr std::size_t UncountedBodyBytes = 16 * 1024;
+/// Unit in which the memory of a body of unknown length is taken.
+constexpr std::size_t MemoryStepBytes = 16 * 1024;
+/// How long a request waits for memory for its body, unread. Callers give a request up that is not read within a
+/// second.
+constexpr std::chrono::milliseconds MemoryWait{300};
+constexpr std::chrono::milliseconds MemoryCheckInterval{10};
 
 /// The body of a response that rejects a request before any handler saw it, in the common format for failures.
 std::string rejectionBody(const std::string &detail)
@@ -41,6 +49,7 @@
     : m_socket(std::move(socket))
     , m_state(std::move(state))
     , m_timer(m_socket.get_executor())
+    , m_memoryTimer(m_socket.get_executor())
     , m_buffer(m_state->limits.current()->headerBytes + m_state->limits.current()->bodyBytes)
 {
     Error error;
@@ -187,11 +196,68 @@
 
 void HttpConnection::readBody()
 {
-    http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Error error, std::size_t) {
-        self->bodyRead(error);
+    if (m_parser->is_done()) {
+        bodyRead({});
+        return;
+    }
+    m_memory = MemoryShare(m_state->memory);
+    m_parser->eager(true);
+    waitForMemory(std::chrono::steady_clock::now() + MemoryWait);
+}
+
+/// Takes the memory for the body: all of it if its length is known, otherwise for the next piece. Returns false if
+/// there is not enough.
+bool HttpConnection::takeMemory()
+{
+    const auto length = m_parser->content_length();
+    const auto read = m_parser->get().body().size();
+    const auto needed = length ? static_cast<std::size_t>(*length) : (read / MemoryStepBytes + 1) * MemoryStepBytes;
+    const auto uncounted = length ? needed <= UncountedBodyBytes : read < UncountedBodyBytes;
+    return uncounted || needed <= m_memory.bytes() || m_memory.resize(needed);
+}
+
+/// Reads on once there is memory for it, and refuses the request if there is none in time.
+void HttpConnection::waitForMemory(std::chrono::steady_clock::time_point end)
+{
+    if (m_phase != Phase::Reading) {
+        return;
+    }
+    if (takeMemory()) {
+        readBodyPiece();
+        return;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+        refuseForMemory();
+        return;
+    }
+    m_memoryTimer.expires_after(MemoryCheckInterval);
+    m_memoryTimer.async_wait([self = shared_from_this(), end](Error error) {
+        if (!error) {
+            self->waitForMemory(end);
+        }
     });
 }
 
+void HttpConnection::readBodyPiece()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser, [self = shared_from_this()](Error error, std::size_t) {
+        if (error || self->m_phase != Phase::Reading || self->m_parser->is_done()) {
+            self->bodyRead(error);
+            return;
+        }
+        self->waitForMemory(std::chrono::steady_clock::now() + MemoryWait);
+    });
+}
+
+/// Has the request answered without its body and closes the connection then, on which the rest of the body still
+/// arrives.
+void HttpConnection::refuseForMemory()
+{
+    m_memory = {};
+    m_parser->get().body() = {};
+    dispatchRequest(m_state->refuse, false);
+}
+
 void HttpConnection::bodyRead(Error error)
 {
     if (m_phase != Phase::Reading) {
@@ -201,13 +267,13 @@
         rejectOnError(error);
         return;
     }
-    m_timer.cancel();
-    dispatchRequest();
+    dispatchRequest(m_state->handler, m_parser->keep_alive());
 }
 
-void HttpConnection::dispatchRequest()
+void HttpConnection::dispatchRequest(const HttpHandler &handler, bool keepAlive)
 {
-    m_keepAlive = m_parser->keep_alive();
+    m_timer.cancel();
+    m_keepAlive = keepAlive;
     auto request = extractRequest();
     m_parser = nullptr;
     if (m_buffer.size() == 0) {
@@ -218,7 +284,7 @@
     ++m_exchange;
     setBusy(true);
     watchForDisconnect();
-    m_state->handler(std::make_shared<HttpExchange>(shared_from_this(), std::move(request)));
+    handler(std::make_shared<HttpExchange>(shared_from_this(), std::move(request), std::move(m_memory)));
 }
 
 HttpRequest HttpConnection::extractRequest()
@@ -387,8 +453,10 @@
     m_phase = Phase::Closed;
     setBusy(false);
     m_timer.cancel();
+    m_memoryTimer.cancel();
     Error ignored;
     m_socket.close(ignored);
+    m_memory = {};
     m_pending.clear();
     m_onClosed = nullptr;
     for (auto &callback : std::exchange(m_pendingCallbacks, {})) {
--- a/src/libpomeloport/transport/httpconnection.h
+++ b/src/libpomeloport/transport/httpconnection.h
@@ -24,6 +24,9 @@
 {
     Published<HttpLimits> limits{std::make_shared<const HttpLimits>()};
     HttpHandler handler;
+    /// Budget for request bodies and handler of requests that find no place in it; neither is set without a limit.
+    std::shared_ptr<MemoryBudget> memory;
+    HttpHandler refuse;
     std::atomic<std::size_t> connections{0};
     /// Number of connections with a request whose reply has not been completely sent.
     std::atomic<std::size_t> busy{0};
@@ -79,8 +82,12 @@
     void sendContinue();
     bool framingIsUnambiguous() const;
     void readBody();
+    void readBodyPiece();
+    void waitForMemory(std::chrono::steady_clock::time_point end);
+    bool takeMemory();
+    void refuseForMemory();
     void bodyRead(Error error);
-    void dispatchRequest();
+    void dispatchRequest(const HttpHandler &handler, bool keepAlive);
     HttpRequest extractRequest();
     void rejectRequest(unsigned status, const std::string &detail);
     void rejectOnError(Error error);
@@ -109,8 +116,11 @@
     Socket m_socket;
     std::shared_ptr<HttpServerState> m_state;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_memoryTimer;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
+    /// Share of the body that is being read.
+    MemoryShare m_memory;
     std::string m_remote;
     std::function<void()> m_onClosed;
     std::string m_pending;
--- a/src/libpomeloport/transport/httpserver.cpp
+++ b/src/libpomeloport/transport/httpserver.cpp
@@ -152,9 +152,10 @@
 
 } // namespace detail
 
-HttpExchange::HttpExchange(std::shared_ptr<detail::HttpConnection> connection, HttpRequest request)
+HttpExchange::HttpExchange(std::shared_ptr<detail::HttpConnection> connection, HttpRequest request, MemoryShare memory)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
+    , m_memory(std::move(memory))
     , m_number(m_connection->exchange())
 {
 }
@@ -293,6 +294,12 @@
     m_acceptor->state().limits.publish(std::make_shared<const HttpLimits>(limits));
 }
 
+void HttpServer::limitMemory(std::shared_ptr<MemoryBudget> budget, HttpHandler refuse)
+{
+    m_acceptor->state().memory = std::move(budget);
+    m_acceptor->state().refuse = std::move(refuse);
+}
+
 void HttpServer::closeAfterReply()
 {
     m_acceptor->state().keepAlive = false;
--- a/src/pomeloentry/main.cpp
+++ b/src/pomeloentry/main.cpp
@@ -11,6 +11,7 @@
 
 #include <csignal>
 #include <iostream>
+#include <malloc.h>
 #include <thread>
 #include <vector>
 
@@ -101,6 +102,9 @@
     boost::asio::signal_set m_signals;
 };
 
+/// Size in bytes up to which the allocator keeps freed memory for later.
+constexpr int LargestPooledAllocation = 256 * 1024;
+
 int run(const pomeloentry::EntrySettings &settings, const pomeloport::DaemonOptions &options)
 {
     boost::asio::io_context context(static_cast<int>(settings.threads));
@@ -132,6 +136,9 @@
 
 int main(int argc, char **argv)
 {
+    // Large bodies and answers go back to the system when they are freed. By default the allocator would keep them
+    // after the first one, and count them against the limit of the process.
+    mallopt(M_MMAP_THRESHOLD, LargestPooledAllocation);
     int exitCode = DaemonStopped;
     const auto options = pomeloport::parseDaemonOptions(argc, argv, Description, exitCode);
     if (!options) {
--- a/testsuite/lib/cluster.sh
+++ b/testsuite/lib/cluster.sh
@@ -55,13 +55,13 @@
     PIDS[$name]=$!
 }
 
-# write_entry_settings NAME IP STORE GRACE_S [CORES [DOMAIN]]: writes the settings of an entry instance on the users'
+# write_entry_settings NAME IP STORE GRACE_S [CORES [DOMAIN [MEMORY_MB]]]: writes the settings of an entry instance on the users'
 # platform to NAME.json. It serves callers on port 8080, readiness on 8081 and discovery on 8082.
 write_entry_settings() {
     cat >"$WORK/$1.json" <<JSON
 {"nodeName":"$1","region":"r","zone":"${6:-a}","ip":"$2","internalPorts":[7340,7355],
  "listen":{"front":"$2:8080","ready":"$2:8081","directory":"$2:8082"},"seeds":[],
- "platform":{"address":"$3"},"bounds":{"graceS":$4},"limits":{"cores":${5:-1}}}
+ "platform":{"address":"$3"},"bounds":{"graceS":$4},"limits":{"cores":${5:-1},"memoryMb":${7:-0}}}
 JSON
 }
 
--- a/testsuite/lib/oneentry.sh
+++ b/testsuite/lib/oneentry.sh
@@ -15,10 +15,10 @@
         -H "Deadline-Ms: 3000" "http://$ENTRY:8080$2" || echo "curl=$?"
 }
 
-start_one_entry() { # starts the platform, the case's backend.py and the instance
+start_one_entry() { # start_one_entry [MEMORY_MB]: starts the platform, the case's backend.py and the instance
     start backend python3 -u backend.py "$NET.1.1" 8000
     start platform "$BIN/platform-standin" "$STORE"
-    write_entry_settings entry-1 "$ENTRY" "$STORE" 8
+    write_entry_settings entry-1 "$ENTRY" "$STORE" 8 1 a "${1:-0}"
     wait_until 5 curl -sf "http://$STORE/runs?attempt=none"
     curl -s "http://$STORE/put?kind=servers&name=i-1" -d "{\"service\":\"s\",\"address\":\"$NET.1.1:8000\",
         \"zone\":\"a\",\"slots\":8,\"state\":\"ready\",\"born\":1}" >/dev/null
