--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -26,6 +26,8 @@
 /// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus the
 /// timeout, so it is kept short: changes must take effect within seconds.
 constexpr std::chrono::milliseconds WatchWait{2'000};
+/// Within this time, on top of a watch's wait, a store that is well answers or refuses a call.
+constexpr std::chrono::milliseconds AnswerTime{200};
 /// Pause after a watch that reported changes, so that one call covers several of them.
 constexpr std::chrono::milliseconds WatchPause{100};
 /// Without a call to the store within this time, its availability counts as unknown.
@@ -120,6 +122,7 @@
     }
     kind.callPending = true;
     kind.calledAt = steadyNow();
+    kind.answerDue = kind.calledAt + AnswerTime;
     StoreCall call;
     call.id = m_nextCall++;
     call.operation = StoreOperation::List;
@@ -177,6 +180,7 @@
 {
     kind.callPending = true;
     kind.calledAt = steadyNow();
+    kind.answerDue = kind.calledAt + WatchWait + AnswerTime;
     StoreCall call;
     call.id = m_nextCall++;
     call.operation = StoreOperation::Watch;
@@ -236,7 +240,7 @@
     }
     const auto now = steadyNow();
     // A call that was not answered in time may have met a store that was already silent; a refused one shows it is now.
-    m_outage.failed(now - kind.calledAt > WatchWait ? kind.calledAt : now, now);
+    m_outage.failed(now > kind.answerDue ? kind.calledAt : now, now);
     m_storeCalledAt = now;
     if (!std::exchange(m_storeUnavailable, true)) {
         logEvent(LogLevel::Warning,
--- a/src/libpomeloentry/fleetwatch.h
+++ b/src/libpomeloentry/fleetwatch.h
@@ -53,6 +53,8 @@
         std::unique_ptr<boost::asio::steady_timer> timer;
         /// When the current or last call to the store was sent.
         Instant calledAt{};
+        /// Until when the store, if it is well, has answered or refused that call.
+        Instant answerDue{};
         std::uint32_t failures = 0;
         bool hasList = false;
         /// Whether a call to the store is in progress or its retry is scheduled.
--- a/testsuite/falsepromise/run.sh
+++ b/testsuite/falsepromise/run.sh
@@ -9,7 +9,6 @@
 source ../lib/oneentry.sh
 
 start_one_entry
-runs() { grep -c "^run $1\$" "$WORK/backend.log" || true; }
 expect "a call that ran" "$(call good /once/run/x)" $'done\n200'
 for status in 503 429 408; do
     expect "status $status" "$(call "a$status" "/once/$status/x" | tail -n 1)" 502
--- a/testsuite/lib/oneentry.sh
+++ b/testsuite/lib/oneentry.sh
@@ -15,6 +15,10 @@
         -H "Deadline-Ms: 3000" "http://$ENTRY:8080$2" || echo "curl=$?"
 }
 
+runs() { # runs ATTEMPT: prints how often the case's backend.py has run an attempt
+    grep -c "^run $1\$" "$WORK/backend.log" || true
+}
+
 start_one_entry() { # start_one_entry [MEMORY_MB]: starts the platform, the case's backend.py and the instance
     start backend python3 -u backend.py "$NET.1.1" 8000
     start platform "$BIN/platform-standin" "$STORE"
--- a/testsuite/repeatedrefusal/run.sh
+++ b/testsuite/repeatedrefusal/run.sh
@@ -10,7 +10,6 @@
 source ../lib/oneentry.sh
 
 start_one_entry
-runs() { grep -c "^run $1\$" "$WORK/backend.log" || true; }
 for i in 1 2 3; do
     pids=
     for j in 1 2 3; do
