--- a/src/include/pomeloentry/servernotices.h
+++ b/src/include/pomeloentry/servernotices.h
@@ -63,8 +63,8 @@
 /// Decides which backend servers may get requests of this instance, for the load pattern of servers that are replaced
 /// or under pressure one by one or all at once. Servers are identified by incarnation, so a restarted one begins anew,
 /// and an entry of the same incarnation that does not tell of leaving changes nothing. A pause ends by itself; then the
-/// server gets one request first, and with each answer twice as many, so that the requests that have waited for it do
-/// not all come at once. Not thread safe.
+/// server gets one request, and each answer permits two more until it gets requests as before, so that the requests
+/// that have waited for it do not all come at once. Not thread safe.
 class ServerNotices
 {
 public:
@@ -114,9 +114,6 @@
     /// Time from which a server that is paused may get requests; nothing if it is not.
     std::optional<Instant> pausedUntil(std::uint32_t server, Instant now) const;
 
-    /// How this instance learned of the last change of a server.
-    std::optional<NoticeSource> source(std::uint32_t server) const;
-
     /// Whether a wrong value in an answer of a server is to be logged, which happens now and then only.
     bool reportsWrongValue(std::uint32_t server, Instant now);
 
@@ -138,7 +135,6 @@
 private:
     struct State
     {
-        NoticeSource source = NoticeSource::Answer;
         Instant leavingHeardAt{};
         Instant pausedUntil{};
         /// Pause that another instance was asked for.
--- a/src/include/pomeloport/transport/httpmessage.h
+++ b/src/include/pomeloport/transport/httpmessage.h
@@ -32,6 +32,9 @@
 /// listed in Connection.
 HttpFields endToEndFields(const HttpFields &fields);
 
+/// Encodes a text for the path or query of a target: all but letters, digits and "-._~" become %XX.
+std::string percentEncoded(std::string_view text);
+
 /// Appends each field as a "Name: value" line with CRLF.
 void appendFields(std::string &out, const HttpFields &fields);
 
--- a/src/libpomeloentry/entryplacement.cpp
+++ b/src/libpomeloentry/entryplacement.cpp
@@ -33,8 +33,6 @@
 /// minimum.
 constexpr double RetrySpreadShare = 0.25;
 constexpr double MinimumRetrySpreadMs = 100;
-/// Number of servers that the metrics page lists by name.
-constexpr std::size_t MaximumListedServers = 100;
 /// Weight of the failure rate in the score of a backend server. The score is multiplied by 1 plus this weight for a
 /// server that fails every attempt; the lowest score wins.
 constexpr double FailurePenalty = 10;
@@ -105,17 +103,6 @@
     return work.promptTokens + work.answerTokens;
 }
 
-std::size_t EntryPlacement::usableServers(const ServiceView &service, Instant now) const
-{
-    std::size_t result = 0;
-    for (std::size_t i = 0; i < service.backends.size(); ++i) {
-        const bool leaves = service.backends[i]->leaving
-            || m_notices.standing(service.keys[i], now) == ServerNotices::Standing::Leaving;
-        result += leaves ? 0 : 1;
-    }
-    return result;
-}
-
 EntryPlacement::EntryPlacement(const EntryPolicy &policy, std::uint64_t seed)
     : m_policy(policy)
     , m_seed(seed)
@@ -546,25 +533,6 @@
     return Failure{Verdict::NotRun, ReasonCode::Overloaded, trace.reason, RetryAfterNoPlace};
 }
 
-std::optional<Instant> EntryPlacement::commonPauseEnd(const std::string &service, Instant now) const
-{
-    const auto found = m_services.find(service);
-    std::optional<Instant> result;
-    for (std::size_t i = 0; found != m_services.end() && i < found->second.backends.size(); ++i) {
-        const auto key = found->second.keys[i];
-        const auto standing = m_notices.standing(key, now);
-        if (found->second.backends[i]->leaving || standing == ServerNotices::Standing::Leaving) {
-            continue;
-        }
-        const auto end = m_notices.pausedUntil(key, now);
-        if (!end) {
-            return std::nullopt;
-        }
-        result = result ? std::min(*result, *end) : *end;
-    }
-    return result;
-}
-
 /// Lets a call wait for the end of a pause if it may wait for so long, and refuses it at once otherwise. The refused
 /// calls come back after the pause, spread over some time.
 RouteDecision EntryPlacement::waitForPauseEnd(const CallWork &work,
@@ -765,81 +733,6 @@
     return found != m_state->backends.end() && !found->second.leaving;
 }
 
-EntryPlacement::NoticeOutcome EntryPlacement::noticed(std::uint32_t server,
-                                                      const ServerNotice &notice,
-                                                      NoticeSource source,
-                                                      Instant now)
-{
-    NoticeOutcome result;
-    {
-        const std::lock_guard lock(m_mutex);
-        result.change = m_notices.heard(server, notice, source, now);
-        result.pausedUntil = m_notices.pausedUntil(server, now);
-    }
-    if (result.change != ServerNotices::Change::None && source == NoticeSource::Answer) {
-        reportChange(WorkChange::Notice);
-    }
-    return result;
-}
-
-bool EntryPlacement::reportsWrongNotice(std::uint32_t server, Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_notices.reportsWrongValue(server, now);
-}
-
-std::vector<NoticeMessage> EntryPlacement::noticeMessages(Instant now)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_notices.messages(now);
-}
-
-std::string EntryPlacement::nameOf(std::uint32_t server) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto service = m_serviceByKey.find(server);
-    if (service == m_serviceByKey.end()) {
-        return {};
-    }
-    const auto &view = m_services.at(service->second);
-    const auto position = std::ranges::find(view.keys, server) - view.keys.begin();
-    return view.backends.at(static_cast<std::size_t>(position))->id;
-}
-
-bool EntryPlacement::mayBeSent(const Route &route, Instant now) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto permits = [this, now](const std::string &backend) {
-        const auto key = keyOf(backend);
-        return key == 0 || m_notices.mayGetRequests(key, now);
-    };
-    return permits(route.members.front().backend)
-        && std::ranges::all_of(route.helpers, [&permits](const auto &helper) { return permits(helper.backend); });
-}
-
-std::string EntryPlacement::noticeMetricsText(Instant now) const
-{
-    const std::lock_guard lock(m_mutex);
-    const auto counts = m_notices.counts(now);
-    std::string out = "# HELP pomelo_servers_leaving Backend servers that said that they leave.\n"
-                      "# TYPE pomelo_servers_leaving gauge\npomelo_servers_leaving "
-        + std::to_string(counts.leaving)
-        + "\n# HELP pomelo_servers_paused Backend servers that want no requests for a time.\n"
-          "# TYPE pomelo_servers_paused gauge\npomelo_servers_paused "
-        + std::to_string(counts.paused)
-        + "\n# HELP pomelo_server_pause_seconds Remaining time for which a backend server wants no requests.\n"
-          "# TYPE pomelo_server_pause_seconds gauge\n";
-    std::size_t listed = 0;
-    for (const auto &[id, backend] : m_state->backends) {
-        const auto until = m_notices.pausedUntil(backendKey(backend), now);
-        if (until && listed++ < MaximumListedServers) {
-            out += "pomelo_server_pause_seconds{server=\"" + id + "\"} "
-                + std::to_string(pomeloport::seconds(*until - now)) + "\n";
-        }
-    }
-    return out;
-}
-
 std::size_t EntryPlacement::inFlight() const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/libpomeloentry/fleetwatch.cpp
+++ b/src/libpomeloentry/fleetwatch.cpp
@@ -135,7 +135,9 @@
 
 void FleetWatch::onListReply(KindState &kind, const StoreReply &reply)
 {
-    if (reply.status != StoreStatus::Ok) {
+    // A page without a readable object names no place to go on from, and the list would seem complete without the rest.
+    const bool cannotContinue = reply.more && reply.objects.empty();
+    if (reply.status != StoreStatus::Ok || cannotContinue) {
         kind.listedObjects.clear();
         retryLater(kind, reply);
         return;
@@ -145,7 +147,7 @@
         kind.listAsOf = reply.storeVersion;
     }
     kind.listedObjects.insert(kind.listedObjects.end(), reply.objects.begin(), reply.objects.end());
-    if (reply.more && !reply.objects.empty()) {
+    if (reply.more) {
         list(kind, reply.objects.back().name);
         return;
     }
--- a/src/libpomeloentry/servernotices.cpp
+++ b/src/libpomeloentry/servernotices.cpp
@@ -69,9 +69,6 @@
         change = isLeaving(*state, now) ? change : Change::Leaves;
         state->leavingHeardAt = now;
     }
-    if (change != Change::None) {
-        state->source = source;
-    }
     return change;
 }
 
@@ -149,12 +146,6 @@
                                                                        : std::nullopt;
 }
 
-std::optional<NoticeSource> ServerNotices::source(std::uint32_t server) const
-{
-    const auto found = m_servers.find(server);
-    return found == m_servers.end() ? std::nullopt : std::optional(found->second.source);
-}
-
 bool ServerNotices::reportsWrongValue(std::uint32_t server, Instant now)
 {
     auto *state = stateFor(server, now);
--- a/src/libpomeloentry/servernotices_test.cpp
+++ b/src/libpomeloentry/servernotices_test.cpp
@@ -38,7 +38,6 @@
     CHECK(notices.heard(Server, leaves(), source, Now + 1s) == Change::None);
     CHECK(notices.standing(Server, Now + 9min) == Standing::Leaving);
     CHECK_FALSE(notices.mayGetRequests(Server, Now + 1s));
-    CHECK(notices.source(Server) == source);
     // Neither an answer nor a peer's word without the notice brings it back; another incarnation has another key.
     CHECK(notices.heard(Server, {}, source, Now + 2s) == Change::None);
     CHECK(notices.standing(Server, Now + 2s) == Standing::Leaving);
--- a/src/libpomeloport/transport/httpmessage.cpp
+++ b/src/libpomeloport/transport/httpmessage.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <algorithm>
+#include <cctype>
 
 namespace pomeloport
 {
@@ -82,4 +83,23 @@
     }
 }
 
+std::string percentEncoded(std::string_view text)
+{
+    constexpr const char *Digits = "0123456789ABCDEF";
+    constexpr unsigned HighShift = 4;
+    constexpr unsigned LowMask = 15;
+    std::string result;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
+            result += c;
+            continue;
+        }
+        result += '%';
+        result += Digits[byte >> HighShift];
+        result += Digits[byte & LowMask];
+    }
+    return result;
+}
+
 } // namespace pomeloport
--- a/src/libpomeloport/transport/platformclient.cpp
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -3,8 +3,7 @@
 #include "../protocol/jsonfields.h"
 
 #include "pomeloport/logging.h"
-
-#include <cctype>
+#include "pomeloport/transport/httpmessage.h"
 
 namespace pomeloport
 {
@@ -20,25 +19,6 @@
 /// Added to the watch time to give the timeout of the HTTP call.
 constexpr std::chrono::milliseconds WatchGracePeriod{5'000};
 
-std::string percentEncoded(std::string_view text)
-{
-    constexpr const char *Digits = "0123456789ABCDEF";
-    constexpr unsigned HighShift = 4;
-    constexpr unsigned LowMask = 15;
-    std::string result;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || c == '-' || c == '_' || c == '.' || c == '~') {
-            result += c;
-            continue;
-        }
-        result += '%';
-        result += Digits[byte >> HighShift];
-        result += Digits[byte & LowMask];
-    }
-    return result;
-}
-
 std::string objectTarget(const StoreCall &call)
 {
     return "/v1/objects/" + percentEncoded(call.kind) + '/' + percentEncoded(call.name);
