Show a removal that takes effect late after a silence of the store

The grace for entries that lapsed counts from the last failure that the instance noticed, up to 3.2 s after the store's return, so a removal that was acknowledged by the stable store is delayed beyond drainMs.

--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -59,6 +59,11 @@
         self.revision = 1
         self.kinds = {}
         self.changed = asyncio.Condition()
+        # While it is silent, calls are read and never answered. The times of watches by kind, for the cases.
+        self.silent = False
+        self.watches = []
+        # Connections that were accepted before this count have gone silent for good; new ones work.
+        self.accepted, self.silent_before = 0, 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, *self.address)
@@ -126,12 +131,23 @@
             await self.delete(kind, name)
         return 200, self.encode(name, self.kinds[kind][name])
 
+    def silence_connections(self):
+        self.silent_before = self.accepted
+
     async def serve(self, reader, writer):
+        number = self.accepted
+        self.accepted += 1
         try:
             while head := await read_head(reader):
                 method, target, _ = head[0].split(" ")
                 body = await reader.readexactly(int(head[1].get("content-length", 0)))
-                status, document = await self.answer(method, target, body)
+                if "watch=" in target:
+                    self.watches.append((target.partition("?")[0].rpartition("/")[2], now()))
+                status, document = (0, {}) if self.silent else await self.answer(method, target, body)
+                if self.silent or status == 0 or number < self.silent_before:
+                    # A connection on which a response is lost returns nothing further.
+                    await reader.read()
+                    return
                 text = json.dumps(document).encode()
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % (status, len(text)) + text)
                 await writer.drain()
