Take a response without length for complete only once the request has arrived

What callers saw: a backend server answered a long request at once with a 200 without length, sent a part of the body and reset the connection while the request was still being written. The part reached the caller as a complete answer. The same with `Connection: close`, and with a stream, which ended as complete after any whole event.

Cause: the request is written while the response is read. When the connection is reset, the pending write consumes the socket's error, and the pending read then finds the end of the stream. CallStream ignores errors of the write, because a server may reject a request before it has read all of it, and a response without length or chunks is complete at the end of the stream.

Change: at the end of such a response CallStream waits until the server has acknowledged the whole request, and breaks the call if the write has failed or the connection has. A server that ends its response early and reads on still gives a complete one.

--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -46,6 +46,8 @@
 /// connection that the server is closing.
 constexpr std::chrono::milliseconds KeepAliveMargin{500};
 constexpr std::chrono::milliseconds DefaultKeepAliveTimeout{4000};
+/// Interval at which a closed connection is checked for bytes of the request that the server has not acknowledged.
+constexpr std::chrono::milliseconds DeliveryCheckInterval{10};
 
 /// How long the connection may be reused, according to the Keep-Alive field of the response.
 std::chrono::milliseconds keepAliveTimeout(const HttpFields &fields)
@@ -244,13 +246,14 @@
         if (m_closed || !m_socket) {
             return;
         }
-        if (error && bytes == 0 && m_reused) {
+        if (error && bytes == 0 && m_reused && !m_endReceived) {
             m_reconnecting = true;
             closeSocket();
             return;
         }
         // A write error is not reported here, because a server may reject a call before reading all of it. The response
         // or the read error determines the outcome.
+        m_writeFailed = static_cast<bool>(error);
         m_call.body = nullptr;
     }
 
@@ -370,15 +373,36 @@
 
     void handleReadError(error_code error)
     {
-        error_code ignored;
-        if (error == asio::error::eof && m_parser->is_header_done()) {
-            m_parser->put_eof(ignored);
+        const bool endsResponse = error == asio::error::eof && m_parser->is_header_done() && m_parser->need_eof();
+        if (endsResponse && !m_unrelatedResponse && m_headReported) {
+            m_endReceived = true;
+            endWithConnection();
+            return;
         }
-        if (m_parser->is_done() && !m_unrelatedResponse && m_headReported) {
+        emitFinal(callevent::Broken{error == asio::error::eof ? "connection closed" : error.message(), true});
+    }
+
+    /// Ends a response without length or chunks. A connection that is reset while the request is written may read as
+    /// closed, because the failed write consumes the error. Hence the response is complete only once the server has
+    /// received the whole request.
+    void endWithConnection()
+    {
+        if (m_writeFailed || pendingError(*m_socket)) {
+            emitFinal(callevent::Broken{"connection reset", true});
+            return;
+        }
+        if (!m_writing && unacknowledgedBytes(*m_socket) == 0) {
+            error_code ignored;
+            m_parser->put_eof(ignored);
             complete();
             return;
         }
-        emitFinal(callevent::Broken{error == asio::error::eof ? "connection closed" : error.message(), true});
+        m_timer.expires_after(DeliveryCheckInterval);
+        m_timer.async_wait([self = shared_from_this()](error_code error) {
+            if (!error && self->m_socket && self->m_socket->is_open()) {
+                self->endWithConnection();
+            }
+        });
     }
 
     /// Feeds the parser with the buffered bytes and keeps those that it does not consume.
@@ -462,6 +486,9 @@
     bool m_unrelatedResponse = false;
     bool m_bodyDataReported = false;
     bool m_writing = false;
+    bool m_writeFailed = false;
+    /// The server has closed its side of the connection, which ends the response.
+    bool m_endReceived = false;
     bool m_reading = false;
     bool m_readDeferred = false;
     bool m_paused = false;
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -1,3 +1,5 @@
+#include "rawserver.h"
+
 #include "pomeloport/transport/callstream.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,7 +16,9 @@
 #include <thread>
 
 using namespace pomeloport;
+using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
+using detail::RawServer;
 
 namespace
 {
@@ -218,6 +222,36 @@
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// Returns the events of a call whose connection is handled by a script.
+std::string eventsOf(const RawServer::Script &script, std::shared_ptr<const std::string> body = nullptr)
+{
+    constexpr int ReceiveBytes = 4096;
+    RawServer server(script, ReceiveBytes);
+    Caller caller;
+    const std::string method = body ? "POST" : "GET";
+    return caller.call(server.address(), "1", method, std::move(body));
+}
+
+/// Returns the events of a call that gets these bytes on a connection that stays open.
+std::string eventsOfOpen(const std::string &text)
+{
+    return eventsOf([&text](RawServer::Connection &connection) {
+        connection.write(text);
+        connection.readToEnd();
+    });
+}
+
+/// Larger than the buffers of the system, so that it is still being written when the response comes.
+std::shared_ptr<const std::string> longBody()
+{
+    constexpr std::size_t Bytes = 8 << 20;
+    static const auto body = std::make_shared<const std::string>(Bytes, 'x');
+    return body;
+}
+
+const std::string Chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string EventStream = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n";
+
 } // namespace
 
 TEST_CASE("a relayed call reuses its connection and sends its header fields unchanged", "[callstream]")
@@ -361,3 +395,105 @@
     }
     CHECK(caller.call(address, "2") == "unreachable");
 }
+
+// A server answered a long request at once with a 200 without length, sent a part and reset the connection. The failed
+// write of the request consumed the error, so the connection read as closed and the part was taken as complete.
+TEST_CASE("a response that is reset while the request is written is not complete", "[callstream]")
+{
+    const std::string events = "data: 1\n\n";
+    const auto text = GENERATE_COPY(as<std::string>{},
+                                    "HTTP/1.1 200 OK\r\n\r\npart",
+                                    "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+                                    Chunked + "4\r\npart\r\n",
+                                    EventStream + "\r\n" + events,
+                                    EventStream + "Content-Length: 90\r\n\r\n" + events,
+                                    EventStream + "Transfer-Encoding: chunked\r\n\r\n9\r\n" + events + "\r\n");
+    constexpr int Repetitions = 20;
+    int complete = 0;
+    for (const auto delay : {0ms, 1ms, 5ms}) {
+        for (int i = 0; i < Repetitions; ++i) {
+            const auto outcome = eventsOf(
+                [&text, delay](RawServer::Connection &connection) {
+                    connection.write(text);
+                    std::this_thread::sleep_for(delay);
+                    connection.reset();
+                },
+                longBody());
+            complete += outcome.ends_with("lost") ? 0 : 1;
+        }
+    }
+    CAPTURE(text);
+    CHECK(complete == 0);
+}
+
+// The same with a server that closes: the system then resets the connection because the rest of the request is unread.
+TEST_CASE("a response that is closed before the request is written is not complete", "[callstream]")
+{
+    const auto outcome = eventsOf(
+        [](RawServer::Connection &connection) {
+            connection.write("HTTP/1.1 200 OK\r\n\r\npart");
+            connection.endResponse();
+            std::this_thread::sleep_for(30ms);
+        },
+        longBody());
+    CHECK_THAT(outcome, Catch::EndsWith("lost"));
+}
+
+TEST_CASE("a server may end its response before it has read the whole request", "[callstream]")
+{
+    std::size_t received = 0;
+    const auto outcome = eventsOf(
+        [&received](RawServer::Connection &connection) {
+            connection.write("HTTP/1.1 200 OK\r\n\r\nwhole");
+            connection.endResponse();
+            std::this_thread::sleep_for(30ms);
+            received = connection.readToEnd();
+        },
+        longBody());
+    CHECK(outcome == "200 whole end with the connection");
+    CHECK(received == longBody()->size());
+}
+
+TEST_CASE("a response with a malformed field is not passed on", "[callstream]")
+{
+    for (const auto *field : {"Content Length: 1",
+                              "Content-Length : 1",
+                              "Content-Length\t: 1",
+                              "Transfer-Encoding : chunked",
+                              "Content\x01-Length: 1",
+                              "Fie\x7fld: 1",
+                              ": 1",
+                              "Field",
+                              " Field: 1",
+                              "Field: \x01",
+                              "Content-Length: 1\r\nContent-Length: 2",
+                              "Content-Length: 1\r\nTransfer-Encoding: chunked",
+                              "Content-Length: -1",
+                              "Content-Length: 1 1"}) {
+        CAPTURE(field);
+        CHECK(eventsOfOpen("HTTP/1.1 200 OK\r\n" + std::string(field) + "\r\n\r\n" + "x") == " broken");
+    }
+    // A folded line continues the value before it (RFC 9112, 5.2).
+    CHECK(eventsOfOpen("HTTP/1.1 200 OK\r\nField: a\r\n b\r\nContent-Length: 1\r\n\r\nx") == "200 x end");
+    CHECK(eventsOfOpen("HTTP/1.1 200 OK\r\nContent-Length:\r\n 1\r\n\r\nx") == "200 x end");
+}
+
+TEST_CASE("a response whose head is cut is not passed on", "[callstream]")
+{
+    const bool reset = GENERATE(false, true);
+    const auto head = GENERATE(as<std::string>{},
+                               "HTTP/1.1 200 OK\r\nContent-Length: 10\r\nId: 1\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                               "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n");
+    for (std::size_t length = 0; length < head.size(); ++length) {
+        CAPTURE(head.substr(0, length), reset);
+        CHECK(eventsOf([&head, length, reset](RawServer::Connection &connection) {
+                  connection.write(head.substr(0, length));
+                  if (reset) {
+                      connection.reset();
+                  }
+              })
+              == " lost");
+    }
+}
--- a/src/libpomeloport/transport/socketoptions.h
+++ b/src/libpomeloport/transport/socketoptions.h
@@ -54,6 +54,15 @@
     return bytes;
 }
 
+/// Whether the connection has failed in a way that no operation has reported yet.
+template<typename Socket>
+bool pendingError(Socket &socket)
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    return getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &size) != 0 || error != 0;
+}
+
 /// Number of unsent bytes above which the system takes no more for a peer whose reading is watched.
 constexpr unsigned UnsentBytes = 64 * 1024;
 
