Break a call whose response has a status that is none

What callers saw: a backend server in trouble answered with the status 600, and the caller got it. With 000, 099 or 101 the caller got 504 at its deadline, although the server had answered at once.

Cause: any number of three digits was a status. One below 200 was taken for an informational response, after which the call waits for the final one.

Change: a status outside of the five classes, and 101, is malformed (RFC 9110, 15).

Evidence: on the new test gets "600 x end" and waits until the server closes for the others; now each is broken at once. A connection with a malformed response is not used again; that held before for other malformed responses.

--- a/src/libpomeloport/transport/callstream.cpp
+++ b/src/libpomeloport/transport/callstream.cpp
@@ -39,9 +39,6 @@
 constexpr std::uint32_t MaximumHeadBytes = 64 * 1024;
 /// Maximum number of received bytes that the parser has not consumed, such as a chunk's extension or the trailer.
 constexpr std::size_t MaximumUnparsedBytes = 2 * MaximumHeadBytes;
-/// Maximum number of informational responses, and of those to earlier calls, before the response to a call.
-constexpr unsigned MaximumSkippedResponses = 16;
-constexpr unsigned FirstFinalStatus = 200;
 /// Subtracted from the keep-alive timeout that a server announces, so that a request in transit does not reach a
 /// connection that the server is closing.
 constexpr std::chrono::milliseconds KeepAliveMargin{500};
@@ -278,7 +275,7 @@
     /// Reports the head once, unless the response belongs to another call.
     void reportHead()
     {
-        if (m_headReported || !m_parser->is_header_done() || m_parser->status() < FirstFinalStatus) {
+        if (m_headReported || !m_parser->is_header_done() || isInformational(m_parser->status())) {
             return;
         }
         m_headReported = true;
@@ -348,7 +345,7 @@
             if (!m_parser->is_done()) {
                 break;
             }
-            const bool informational = m_parser->status() < FirstFinalStatus;
+            const bool informational = isInformational(m_parser->status());
             if (!informational && !m_unrelatedResponse) {
                 complete();
                 return;
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -455,6 +455,22 @@
     CHECK(received == longBody()->size());
 }
 
+// A status below 100 was taken for an informational one, and the call waited until its deadline for what follows.
+TEST_CASE("a response whose status is none is malformed", "[callstream]")
+{
+    for (const auto *status : {"000", "099", "101", "600", "999", "20", "2000", "2 0", "abc", ""}) {
+        CAPTURE(status);
+        const auto line = "HTTP/1.1 " + std::string(status) + " OK\r\n";
+        CHECK(eventsOfOpen(line + "Content-Length: 0\r\n\r\n") == " broken");
+        CHECK(eventsOfOpen(line + "\r\n" + answer("1", "x")) == " broken");
+    }
+    for (const auto *line :
+         {"HTTP/1.1200 OK", "HTTP/2.0 200 OK", "HTTP/1.1\t200 OK", "ICY 200 OK", "HTTP/1.1 200 \x01"}) {
+        CAPTURE(line);
+        CHECK(eventsOfOpen(std::string(line) + "\r\nContent-Length: 0\r\n\r\n") == " broken");
+    }
+}
+
 TEST_CASE("a response with a malformed field is not passed on", "[callstream]")
 {
     for (const auto *field : {"Content Length: 1",
@@ -497,3 +513,20 @@
               == " lost");
     }
 }
+
+TEST_CASE("a connection with a broken response is not used again", "[callstream]")
+{
+    for (const auto &text : {"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + answer("1", "x"),
+                             "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n" + answer("1", "x"),
+                             Chunked + "x\r\n" + answer("1", "x")}) {
+        CAPTURE(text);
+        Caller caller;
+        RawServer server([&text](RawServer::Connection &connection) {
+            connection.write(text);
+            connection.readToEnd();
+        });
+        CHECK_THAT(caller.call(server.address(), "1"), Catch::EndsWith(" broken"));
+        CHECK_THAT(caller.call(server.address(), "1"), Catch::EndsWith(" broken"));
+        CHECK(server.connections() == 2);
+    }
+}
--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -62,6 +62,9 @@
     if (containsStatusLine({reason.data(), reason.size()})) {
         error = boost::beast::http::error::bad_reason;
     }
+    if (!isValidStatus(static_cast<unsigned>(code))) {
+        error = boost::beast::http::error::bad_status;
+    }
     m_head.status = static_cast<unsigned>(code);
     m_head.reason = std::string(reason);
 }
--- a/src/libpomeloport/transport/replyparser.h
+++ b/src/libpomeloport/transport/replyparser.h
@@ -11,6 +11,23 @@
 namespace pomeloport::detail
 {
 
+/// Maximum number of informational responses, and of those to earlier calls, before the response to a call.
+constexpr unsigned MaximumSkippedResponses = 16;
+
+/// Whether a status code announces another response to the same request.
+constexpr bool isInformational(unsigned status)
+{
+    return status < 200;
+}
+
+/// Whether a response may have this status code: a number outside of the five classes is no status (RFC 9110, 15), and
+/// no call asks for another protocol.
+constexpr bool isValidStatus(unsigned status)
+{
+    constexpr unsigned SwitchingProtocols = 101;
+    return status >= 100 && status < 600 && status != SwitchingProtocols;
+}
+
 /// Parses one response and passes each piece of its body on as it arrives, without chunk framing. Feed it with put().
 class ReplyParser : public boost::beast::http::basic_parser<false>
 {
