Break a call whose response has an unknown transfer encoding

What callers saw: a response with a transfer encoding other than chunks, such as gzip, reached the caller as complete, without that field and with the encoded bytes for its body.

Cause: the parser reads such a body until the connection ends, and the field, which holds for one connection, is not passed on.

Change: a transfer encoding other than "chunked" is malformed. Calls announce no other, so servers must not use one (RFC 9112, 7.4).

--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -530,3 +530,15 @@
         CHECK(server.connections() == 2);
     }
 }
+
+// The field is not passed on, so the caller would take the encoded bytes for the body.
+TEST_CASE("a response with an unknown transfer encoding is malformed", "[callstream]")
+{
+    for (const auto *encoding :
+         {"gzip", "gzip, chunked", "chunked, chunked", "identity", "x", "chunked\r\nTransfer-Encoding: chunked"}) {
+        CAPTURE(encoding);
+        const auto head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(encoding) + "\r\n\r\n";
+        CHECK(eventsOf([&head](RawServer::Connection &connection) { connection.write(head + "1\r\nx\r\n0\r\n\r\n"); })
+              == " broken");
+    }
+}
--- a/src/libpomeloport/transport/replyparser.cpp
+++ b/src/libpomeloport/transport/replyparser.cpp
@@ -36,6 +36,11 @@
 
 } // namespace
 
+bool isKnownTransferEncoding(std::string_view value)
+{
+    return boost::beast::iequals({value.data(), value.size()}, "chunked");
+}
+
 ReplyParser::ReplyParser(Sink sink)
     : m_sink(std::move(sink))
 {
@@ -69,11 +74,15 @@
     m_head.reason = std::string(reason);
 }
 
-void ReplyParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &error)
+void ReplyParser::on_field_impl(boost::beast::http::field field, Text name, Text value, Error &error)
 {
     if (containsStatusLine({value.data(), value.size()})) {
         error = boost::beast::http::error::bad_value;
     }
+    if (field == boost::beast::http::field::transfer_encoding
+        && !isKnownTransferEncoding({value.data(), value.size()})) {
+        error = boost::beast::http::error::bad_transfer_encoding;
+    }
     m_head.fields.emplace_back(std::string(name), std::string(value));
 }
 
--- a/src/libpomeloport/transport/replyparser.h
+++ b/src/libpomeloport/transport/replyparser.h
@@ -28,6 +28,10 @@
     return status >= 100 && status < 600 && status != SwitchingProtocols;
 }
 
+/// Whether the body of a response is understood that has this transfer encoding. Calls announce no other (RFC
+/// 9112, 7.4).
+bool isKnownTransferEncoding(std::string_view value);
+
 /// Parses one response and passes each piece of its body on as it arrives, without chunk framing. Feed it with put().
 class ReplyParser : public boost::beast::http::basic_parser<false>
 {
