Take only final, well-formed replies of bounded size in HttpClient

What callers saw: nothing so far; found by checking every place that reads answers. HttpClient serves the store, orders, reservations and reports of backend servers, health checks and the state of peers.

Cause: it took the first response of whatever status for the reply. After an informational one the connection went back to the pool, and the real reply could be taken for the one to the next call (by reading; the test meets it before it is used again). An order to free memory counted as carried out with a status such as 000 or 100. A reply could hold 64 MiB, and any number of servers could send that at once.

Change: informational responses are skipped, 16 at most; a status that is none, 101 and unknown transfer encodings fail the call. Replies are limited to 1 MiB, to 32 MiB for lists of the store and the state of a peer, to 16 MiB for events of engines, and to 256 KiB for orders and reports, which share the memory for answers beyond 16 KiB each.

Evidence: before, the new tests get "100 " as the reply, take 000, 099, 101 and 600 for replies, free memory with one order instead of three tries, and read 64 MiB.

--- a/src/include/pomeloport/transport/httpclient.h
+++ b/src/include/pomeloport/transport/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pomeloport/memorybudget.h"
 #include "pomeloport/transport/httpmessage.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,11 @@
     std::string body;
     std::vector<std::pair<std::string, std::string>> headers;
     std::chrono::milliseconds timeout{5000};
+    /// Maximum size of the body of the response; a longer one fails the call.
+    std::size_t maximumReplyBytes = 1024 * 1024;
+    /// Counts bodies of more than UncountedReplyBytes while they are received. One that finds no place fails the call.
+    std::shared_ptr<MemoryBudget> replyMemory;
+    static constexpr std::size_t UncountedReplyBytes = 16 * 1024;
 };
 
 /// A complete response.
@@ -40,8 +46,8 @@
     HttpFields fields;
 };
 
-/// Called once, with the reply or, on failure, with nothing. `sent` tells whether any byte of the request may have left
-/// this process; if not, the call had no effect.
+/// Called once, with the final reply or, on failure, with nothing. `sent` tells whether any byte of the request may
+/// have left this process; if not, the call had no effect.
 using HttpCallback = std::function<void(std::optional<HttpReply> reply, bool sent)>;
 
 /// Sends calls and pools idle connections by address. Thread-safe; callbacks run on threads of the io_context. If a
--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -47,6 +47,8 @@
 /// Time after a start in which an instance that is no seed waits for the state of a peer before it reads the store. All
 /// instances of a fleet may start at once, and the store limits the rate of calls.
 constexpr std::chrono::milliseconds PeerStateTime{500};
+/// Maximum size of the state of a peer. One is fetched at a time.
+constexpr std::size_t MaximumCopyBytes = 32 * 1024 * 1024;
 constexpr std::chrono::milliseconds FetchTimeout{800};
 /// Interval at which a starting instance asks for the evacuations again after a peer that serves callers had none to
 /// tell of, as an instance of an earlier version. It then reads the store as well.
@@ -659,6 +661,7 @@
     }
     const bool isFirst = !m_routing && !m_peerFetchFailed;
     HttpCall call{peer.address, "GET", target, {}, {}, isFirst ? FirstFetchTimeout : FetchTimeout};
+    call.maximumReplyBytes = MaximumCopyBytes;
     const bool serves = peer.state != EntryState::Starting;
     const auto askedAt = steadyNow();
     m_core->client.send(std::move(call),
--- a/src/libpomeloentry/session/ticketholder.cpp
+++ b/src/libpomeloentry/session/ticketholder.cpp
@@ -23,6 +23,8 @@
 constexpr unsigned StatusMisdirected = 421;
 /// Time-out of an order to an engine: a few round trips.
 constexpr std::chrono::milliseconds AnswerTimeout{400};
+/// Maximum size of the response to an order, such as a list of all reservations of an engine.
+constexpr std::size_t MaximumAnswerBytes = 256 * 1024;
 /// Hold time as a share of the configured reservation timeout. The memory that a dead process reserved is freed only
 /// after the hold time, so that must lie below the timeout.
 constexpr double HoldTimeShare = 0.75;
@@ -30,6 +32,15 @@
 constexpr int RenewalsPerHold = 3;
 constexpr int ReleaseAttempts = 3;
 
+/// Limits the time and the memory that the response to an order or a call for a report may take.
+HttpCall limited(HttpCall call, const EntryCore &core)
+{
+    call.timeout = AnswerTimeout;
+    call.maximumReplyBytes = MaximumAnswerBytes;
+    call.replyMemory = core.answerMemory;
+    return call;
+}
+
 /// Records what the answer to an order or a call for a report says of its engine. One that another server gave, which
 /// has the address now, says nothing of the engine.
 void recordAnswerNotice(EntryCore &core, const Ticket &ticket, const std::optional<HttpReply> &reply)
@@ -85,8 +96,7 @@
     m_reserveCallback = std::move(callback);
     m_pendingAnswers = m_tickets.size();
     for (const auto &ticket : m_tickets) {
-        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime});
-        call.timeout = AnswerTimeout;
+        auto call = limited(wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, m_holdTime}), *m_core);
         m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
             recordAnswerNotice(*self->m_core, ticket, reply);
             const bool granted = reply && reply->status == StatusOk;
@@ -134,8 +144,7 @@
         if (hold <= std::chrono::milliseconds::zero()) {
             continue;
         }
-        auto call = wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, hold});
-        call.timeout = AnswerTimeout;
+        auto call = limited(wire::encodeReservation({ticket.address, ticket.name, ticket.tokens, hold}), *m_core);
         m_core->client.send(std::move(call), [core = m_core, ticket](auto reply, bool) {
             recordAnswerNotice(*core, ticket, reply);
             if (!reply || reply->status != StatusOk) {
@@ -170,8 +179,7 @@
 
 void TicketHolder::requestReport(const Ticket &ticket)
 {
-    auto call = wire::encodeReportCall(ticket.address);
-    call.timeout = AnswerTimeout;
+    auto call = limited(wire::encodeReportCall(ticket.address), *m_core);
     m_core->client.send(std::move(call), [self = shared_from_this(), ticket](auto reply, bool) {
         recordAnswerNotice(*self->m_core, ticket, reply);
         const auto used = reply && reply->status == StatusOk ? wire::decodeUsedReservations(reply->body) : std::nullopt;
@@ -200,8 +208,7 @@
 
 void TicketHolder::sendRelease(const Ticket &ticket, int triesLeft)
 {
-    auto call = wire::encodeReservation({ticket.address, ticket.name, 0, {}});
-    call.timeout = AnswerTimeout;
+    auto call = limited(wire::encodeReservation({ticket.address, ticket.name, 0, {}}), *m_core);
     m_core->client.send(std::move(call), [self = shared_from_this(), ticket, triesLeft](auto reply, bool) {
         if (reply) {
             --self->m_core->openReleases;
--- a/src/libpomeloentry/session/ticketholder_test.cpp
+++ b/src/libpomeloentry/session/ticketholder_test.cpp
@@ -1,6 +1,7 @@
 #include "session/ticketholder.h"
 
 #include "../libpomeloport/transport/httpfixture.h"
+#include "../libpomeloport/transport/rawserver.h"
 
 #include <catch2/catch.hpp>
 
@@ -134,3 +135,40 @@
     const std::lock_guard lock(mutex);
     unanswered.clear();
 }
+
+// An order to free memory counted as carried out with any response, also an informational one or one without a status.
+TEST_CASE("an order is not taken as answered by a broken response", "[ticketholder]")
+{
+    const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n";
+    const auto text = GENERATE_COPY(as<std::string>{},
+                                    "",
+                                    "HTTP/1.1 100 Continue\r\n\r\n",
+                                    "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+                                    "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+                                    ok + "Fie ld: 1\r\n\r\n{\"free\":1}",
+                                    ok + "\r\n{\"free\":",
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(1'000'000, ' '));
+    std::atomic<int> orders{0};
+    pomeloport::detail::RawServer engine([&](pomeloport::detail::RawServer::Connection &connection) {
+        ++orders;
+        connection.write(text);
+        connection.reset();
+    });
+    boost::asio::io_context context;
+    const auto core = std::make_shared<EntryCore>(context, EntrySettings{}, 1);
+    const auto holder = std::make_shared<TicketHolder>(
+        core, boost::asio::make_strand(context), std::vector<Ticket>{{"e", engine.address(), "t", 9}});
+    std::string failedBackend;
+    holder->reserve([&failedBackend](const std::string &failed) { failedBackend = failed; });
+    context.run_for(50ms);
+    CHECK(failedBackend == "e");
+    orders = 0;
+    holder->release();
+    CHECK(core->openReleases == 1);
+    context.restart();
+    context.run_for(100ms);
+    // Tried again as often as after no response.
+    CHECK(orders == 3);
+    CHECK(core->openReleases == 0);
+    CHECK(core->answerMemory->used() == 0);
+}
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -1,4 +1,5 @@
 #include "httpfixture.h"
+#include "rawserver.h"
 
 #include "pomeloport/transport/httpclient.h"
 
@@ -11,6 +12,8 @@
 
 using namespace pomeloport;
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using detail::RawServer;
 using detail::ServerFixture;
 
 namespace
@@ -32,6 +35,45 @@
     return result.get_future().get();
 }
 
+/// A client with a thread.
+struct ClientFixture
+{
+    ~ClientFixture()
+    {
+        guard.reset();
+        thread.join();
+    }
+
+    /// Returns the status and the body of the reply to one call, or "failed".
+    std::string outcome(HttpCall httpCall)
+    {
+        const auto [reply, sent] = call(client, std::move(httpCall));
+        CHECK(sent);
+        return reply ? std::to_string(reply->status) + " " + reply->body : "failed";
+    }
+
+    std::string outcome(const RawServer &server)
+    {
+        return outcome({server.address(), "GET", "/x", "", {}});
+    }
+
+    asio::io_context context;
+    asio::executor_work_guard<asio::io_context::executor_type> guard{context.get_executor()};
+    std::thread thread{[this] {
+        context.run();
+    }};
+    HttpClient client{context};
+};
+
+/// Sends a text in reply to the request and keeps the connection open.
+RawServer::Script sends(const std::string &text)
+{
+    return [text](RawServer::Connection &connection) {
+        connection.write(text);
+        connection.readToEnd();
+    };
+}
+
 } // namespace
 
 TEST_CASE("an HTTP server rejects malformed, oversized and slow requests with an error and keeps serving")
@@ -428,3 +470,189 @@
     CHECK(failedPieces > 0);
     CHECK(failedPieces < pieces + 1);
 }
+
+// An informational response was taken for the reply, and the one that followed could be taken for that to the next call.
+TEST_CASE("an HTTP client skips informational replies", "[http]")
+{
+    ClientFixture fixture;
+    const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string second = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+    RawServer server([&](RawServer::Connection &connection) {
+        connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 X\r\nLink: a\r\n\r\n");
+        std::this_thread::sleep_for(20ms);
+        connection.write(first);
+        connection.readHead();
+        connection.write(second);
+        connection.readToEnd();
+    });
+    CHECK(fixture.outcome(server) == "200 first");
+    CHECK(fixture.outcome(server) == "200 second");
+    CHECK(server.connections() == 1);
+}
+
+TEST_CASE("an HTTP client takes no malformed reply and does not use its connection again", "[http]")
+{
+    ClientFixture fixture;
+    const std::string rest = "Content-Length: 0\r\n\r\n";
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &text : std::vector<std::string>{"HTTP/1.1 000 X\r\n" + rest,
+                                                     "HTTP/1.1 099 X\r\n" + rest,
+                                                     "HTTP/1.1 101 X\r\n" + rest,
+                                                     "HTTP/1.1 600 X\r\n" + rest,
+                                                     "HTTP/1.1 2000 X\r\n" + rest,
+                                                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+                                                     "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+                                                     "HTTP/1.1 200 OK\r\nContent Length: 0\r\n\r\n",
+                                                     "HTTP/1.1 200 OK\r\nFie\x01ld: 0\r\n" + rest,
+                                                     "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n" + rest,
+                                                     chunked + "x\r\n",
+                                                     "garbage\r\n\r\n"}) {
+        CAPTURE(text);
+        RawServer server(sends(text));
+        CHECK(fixture.outcome(server) == "failed");
+        CHECK(fixture.outcome(server) == "failed");
+        CHECK(server.connections() == 2);
+    }
+    // A folded line continues the value before it (RFC 9112, 5.2).
+    RawServer folding(sends("HTTP/1.1 200 OK\r\nField: a\r\n b\r\nContent-Length: 1\r\n\r\nx"));
+    CHECK(fixture.outcome(folding) == "200 x");
+}
+
+TEST_CASE("an HTTP client takes no reply that is cut", "[http]")
+{
+    const bool reset = GENERATE(false, true);
+    ClientFixture fixture;
+    for (const auto &text : {std::string("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"),
+                             std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"),
+                             std::string("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 X\r\n\r\n")}) {
+        for (std::size_t length = 0; length < text.size(); ++length) {
+            CAPTURE(text.substr(0, length), reset);
+            RawServer server([&](RawServer::Connection &connection) {
+                connection.write(text.substr(0, length));
+                if (reset) {
+                    connection.reset();
+                }
+            });
+            CHECK(fixture.outcome(server) == "failed");
+        }
+    }
+    // A reply without length or chunks ends with its connection, unless that is reset.
+    RawServer server([&](RawServer::Connection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\nbody");
+        if (reset) {
+            std::this_thread::sleep_for(10ms);
+            connection.reset();
+        }
+    });
+    CHECK(fixture.outcome(server) == (reset ? "failed" : "200 body"));
+}
+
+// The first write that fails tells that the connection was reset, and the read that follows that it was closed.
+TEST_CASE("an HTTP client takes no reply that is reset while the request is written", "[http]")
+{
+    constexpr std::size_t BodyBytes = 8 << 20;
+    constexpr int Repetitions = 20;
+    const auto text = GENERATE(as<std::string>{},
+                               "HTTP/1.1 200 OK\r\n\r\npart",
+                               "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+                               "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart",
+                               "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n");
+    ClientFixture fixture;
+    for (int i = 0; i < Repetitions; ++i) {
+        RawServer server(
+            [&text](RawServer::Connection &connection) {
+                connection.write(text);
+                connection.reset();
+            },
+            4096);
+        CHECK(fixture.outcome({server.address(), "PUT", "/x", std::string(BodyBytes, 'x'), {}}) == "failed");
+    }
+}
+
+// A reply of any server could take 64 MiB.
+TEST_CASE("an HTTP client breaks a reply without end off after a bounded number of bytes", "[http]")
+{
+    static constexpr std::size_t Bound = 8 << 20;
+    static constexpr std::size_t MaximumBytes = 64 << 20;
+    const std::string block(64 << 10, 'x');
+    const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
+        {"", block},
+        {"HTTP/1.1 200 OK\r\nField: ", block},
+        {"HTTP/1.1 200 OK\r\n", "Field: x\r\n"},
+        {"HTTP/1.1 200 OK\r\n\r\n", block},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 67108864\r\n\r\n", block},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + block + "\r\n"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;", block},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Field: x\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    }));
+    CAPTURE(beginning);
+    std::size_t sentBytes = 0;
+    ClientFixture fixture;
+    {
+        RawServer server([&](RawServer::Connection &connection) {
+            connection.write(beginning);
+            while (sentBytes < MaximumBytes && connection.write(filler)) {
+                sentBytes += filler.size();
+            }
+        });
+        CHECK(fixture.outcome(server) == "failed");
+    }
+    CHECK(sentBytes < Bound);
+}
+
+TEST_CASE("replies to an HTTP client share a budget", "[http]")
+{
+    constexpr std::size_t Limit = 300'000;
+    constexpr std::size_t Calls = 20;
+    const auto memory = std::make_shared<MemoryBudget>(Limit);
+    ClientFixture fixture;
+    RawServer endless([](RawServer::Connection &connection) {
+        connection.write("HTTP/1.1 200 OK\r\n\r\n");
+        while (connection.write(std::string(1000, 'x'))) {
+            std::this_thread::sleep_for(1ms);
+        }
+    });
+    std::atomic<std::size_t> failed{0};
+    for (std::size_t i = 0; i < Calls; ++i) {
+        HttpCall endlessCall{endless.address(), "GET", "/x", "", {}};
+        endlessCall.replyMemory = memory;
+        fixture.client.send(std::move(endlessCall), [&failed](const auto &reply, bool) { failed += reply ? 0 : 1; });
+    }
+    // Short replies are not counted.
+    RawServer server(
+        sends("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10000\r\n\r\n" + std::string(10'000, 'x')));
+    while (failed < Calls) {
+        HttpCall shortCall{server.address(), "GET", "/x", "", {}};
+        shortCall.replyMemory = memory;
+        CHECK(fixture.outcome(std::move(shortCall)).size() > 10'000);
+        std::this_thread::sleep_for(10ms);
+    }
+    CHECK(memory->peak() <= Limit);
+    CHECK(memory->peak() > Limit / 2);
+    CHECK(memory->used() == 0);
+}
+
+TEST_CASE("an HTTP server dispatches no request that is cut", "[http]")
+{
+    const bool reset = GENERATE(false, true);
+    std::atomic<int> dispatched{0};
+    ServerFixture fixture([&dispatched](const std::shared_ptr<HttpExchange> &exchange) {
+        ++dispatched;
+        exchange->reply(200, "text/plain", "");
+    });
+    for (const auto &text : std::vector<std::string>{
+             std::string("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"),
+             std::string("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n")}) {
+        for (std::size_t length = 0; length < text.size(); ++length) {
+            auto socket = fixture.connect();
+            boost::asio::write(socket, boost::asio::buffer(text.substr(0, length)));
+            if (reset) {
+                socket.set_option(boost::asio::socket_base::linger(true, 0));
+            }
+        }
+        // A whole request on a later connection is dispatched, so the others have been handled.
+        CHECK_THAT(fixture.sendRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200"));
+    }
+    CHECK(dispatched == 2);
+}
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "addresses.h"
 #include "connectionpool.h"
+#include "replyparser.h"
 #include "socketoptions.h"
 
 #include <boost/asio/bind_executor.hpp>
@@ -22,7 +23,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::uint64_t MaximumReplyBytes = 64ULL * 1024 * 1024;
 /// Maximum number of received bytes that the parser has not consumed, such as a chunk's extension or the trailer.
 constexpr std::size_t MaximumUnparsedBytes = 128 * 1024;
 
@@ -36,6 +36,7 @@
         , m_timer(m_strand)
         , m_call(std::move(call))
         , m_callback(std::move(callback))
+        , m_replyMemory(m_call.replyMemory)
     {
     }
 
@@ -127,15 +128,23 @@
         finish(std::nullopt);
     }
 
+    /// Begins to read a response, the first one or the one that follows an informational response.
     void read()
     {
-        m_parser.body_limit(MaximumReplyBytes);
-        http::async_read(*m_socket,
-                         m_buffer,
-                         m_parser,
-                         asio::bind_executor(m_strand, [self = shared_from_this()](error_code error, std::size_t) {
-                             self->received(error);
-                         }));
+        m_parser.emplace();
+        m_parser->eager(true);
+        m_parser->body_limit(m_call.maximumReplyBytes);
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(*m_socket,
+                              m_buffer,
+                              *m_parser,
+                              asio::bind_executor(m_strand, [self = shared_from_this()](error_code error, std::size_t) {
+                                  self->received(error);
+                              }));
     }
 
     void received(error_code error)
@@ -143,20 +152,44 @@
         if (!m_callback) {
             return;
         }
-        if (error) {
+        auto &response = m_parser->get();
+        const bool malformed = m_parser->is_header_done() && !isWellFormed(response);
+        if (error || malformed || !countReply(response.body().size())) {
             finish(std::nullopt);
             return;
         }
-        if (m_parser.get().keep_alive() && m_buffer.size() == 0) {
+        if (!m_parser->is_done()) {
+            readSome();
+            return;
+        }
+        if (detail::isInformational(response.result_int())) {
+            ++m_skippedResponses > detail::MaximumSkippedResponses ? finish(std::nullopt) : read();
+            return;
+        }
+        if (response.keep_alive() && m_buffer.size() == 0) {
             m_pool->release(m_call.address, std::move(m_socket));
         }
-        HttpReply reply{m_parser.get().result_int(), std::move(m_parser.get().body()), {}};
-        for (const auto &field : m_parser.get()) {
+        HttpReply reply{response.result_int(), std::move(response.body()), {}};
+        for (const auto &field : response) {
             reply.fields.emplace_back(std::string(field.name_string()), std::string(field.value()));
         }
         finish(std::move(reply));
     }
 
+    static bool isWellFormed(const http::response<http::string_body> &response)
+    {
+        const auto encoding = response.find(http::field::transfer_encoding);
+        const bool encodingKnown = encoding == response.end()
+            || detail::isKnownTransferEncoding({encoding->value().data(), encoding->value().size()});
+        return encodingKnown && detail::isValidStatus(response.result_int());
+    }
+
+    /// Returns whether there is memory for the body of the response so far.
+    bool countReply(std::size_t bytes)
+    {
+        return bytes <= HttpCall::UncountedReplyBytes || m_replyMemory.resize(bytes);
+    }
+
     void finish(std::optional<HttpReply> reply)
     {
         if (!m_callback) {
@@ -177,8 +210,11 @@
     HttpCallback m_callback;
     std::unique_ptr<tcp::socket> m_socket;
     http::request<http::string_body> m_request;
-    http::response_parser<http::string_body> m_parser;
+    /// The response that is being read.
+    std::optional<http::response_parser<http::string_body>> m_parser;
     boost::beast::flat_buffer m_buffer{MaximumUnparsedBytes};
+    MemoryShare m_replyMemory;
+    unsigned m_skippedResponses = 0;
     bool m_reused = false;
     bool m_sent = false;
 };
--- a/src/libpomeloport/transport/platformclient.cpp
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusTooManyRequests = 429;
+/// Maximum size of a list. Few calls are in progress at a time, so their replies are not counted.
+constexpr std::size_t MaximumListBytes = 32 * 1024 * 1024;
 /// Added to the watch time to give the timeout of the HTTP call.
 constexpr std::chrono::milliseconds WatchGracePeriod{5'000};
 
@@ -198,6 +200,7 @@
     auto request = m_codec.request(call);
     request.address = m_address;
     request.timeout = m_timeout;
+    request.maximumReplyBytes = MaximumListBytes;
     if (call.operation == StoreOperation::Watch) {
         request.timeout = call.wait.count() > 0 ? call.wait + m_timeout : WatchTime + WatchGracePeriod;
     }
@@ -208,7 +211,7 @@
 
 void PlatformClient::instances(std::function<void(std::optional<std::vector<PlatformInstance>>)> callback)
 {
-    HttpCall request{m_address, "GET", "/v1/instances", {}, {}, m_timeout};
+    HttpCall request{m_address, "GET", "/v1/instances", {}, {}, m_timeout, MaximumListBytes};
     m_client->send(std::move(request), [callback = std::move(callback)](auto reply, bool) {
         const bool usable = reply && reply->status == StatusOk;
         callback(usable ? decodePlatformInstances(reply->body) : std::nullopt);
--- a/src/pomelocontroller/backendpoller.cpp
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -11,6 +11,9 @@
 {
 
 constexpr unsigned StatusOk = 200;
+/// Maximum size of the events of an engine, which after a restart name all blocks of its cache. One reply of each engine
+/// is received at a time.
+constexpr std::size_t MaximumEventsBytes = 16 * 1024 * 1024;
 
 } // namespace
 
@@ -103,7 +106,7 @@
 void BackendPoller::pollEvents(Server &server)
 {
     const auto target = "/v1/events?since=" + std::to_string(server.lastEvent);
-    HttpCall call{server.server.address, "GET", target, {}, {}, m_timeout};
+    HttpCall call{server.server.address, "GET", target, {}, {}, m_timeout, MaximumEventsBytes};
     m_client->send(std::move(call), [weak = weak_from_this(), name = server.server.name](auto reply, bool) {
         if (const auto self = weak.lock()) {
             self->handleEventsReply(name, reply);
