--- a/src/libpomeloport/transport/enginestream_test.cpp
+++ b/src/libpomeloport/transport/enginestream_test.cpp
@@ -1,4 +1,5 @@
 #include "httpfixture.h"
+#include "rawserver.h"
 
 #include "../protocol/chunklines.h"
 
@@ -11,6 +12,8 @@
 
 using namespace pomeloport;
 namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using detail::RawServer;
 using detail::ServerFixture;
 
 namespace
@@ -189,3 +192,103 @@
         REQUIRE_FALSE(detail::parseStreamLine(bad));
     }
 }
+
+TEST_CASE("an engine stream takes no broken response for a whole one and does not use its connection again")
+{
+    ServerFixture fixture(respondByBody);
+    Recorder recorder(fixture);
+    const auto chunk = encode(StreamChunk{0, "a"}) + "\n";
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string refused = "Content-Length: 0\r\n\r\n";
+    for (const auto &text :
+         {std::string(),
+          ok,
+          ok + "\r\n",
+          ok + "\r\n" + chunk,
+          "HTTP/1.1 000 X\r\n" + refused,
+          "HTTP/1.1 099 X\r\n" + refused,
+          "HTTP/1.1 101 X\r\n" + refused,
+          "HTTP/1.1 600 X\r\n" + refused,
+          ok + "Content-Length : 2\r\n\r\n{}",
+          ok + "Fie ld: 2\r\n" + refused,
+          std::string("HTTP/1.1 503 X\r\nContent-Length: 90\r\n\r\n") + encode(Refusal{RefusalCode::Full})}) {
+        CAPTURE(text);
+        const bool reset = GENERATE(false, true);
+        RawServer server([&text, reset](RawServer::Connection &connection) {
+            connection.write(text);
+            if (reset) {
+                std::this_thread::sleep_for(2ms);
+                connection.reset();
+            }
+        });
+        for (const auto kind : {StreamCallKind::Generate, StreamCallKind::Service}) {
+            CHECK_THAT(recorder.run({kind, server.address(), "x"}), Catch::EndsWith("broken"));
+        }
+        CHECK(server.connections() == 2);
+    }
+}
+
+// An informational response was taken for the final one.
+TEST_CASE("an engine stream skips informational responses")
+{
+    ServerFixture fixture(respondByBody);
+    Recorder recorder(fixture);
+    const auto lines = encode(StreamChunk{0, "a"}) + "\n" + encode(StreamEnd{1, 3, {}}) + "\n";
+    RawServer server([&lines](RawServer::Connection &connection) {
+        connection.write("HTTP/1.1 100 Continue\r\n\r\n");
+        std::this_thread::sleep_for(10ms);
+        connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(lines.size()) + "\r\n\r\n" + lines);
+        connection.readToEnd();
+    });
+    CHECK(recorder.run({StreamCallKind::Generate, server.address(), "x"}) == "sending 0=a end:1");
+}
+
+// Bytes that the parser does not consume were kept without a limit.
+TEST_CASE("an engine stream breaks a response without end off after a bounded number of bytes")
+{
+    static constexpr std::size_t Bound = 8 << 20;
+    static constexpr std::size_t MaximumBytes = 64 << 20;
+    const std::string block(64 << 10, 'x');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
+        {"", block},
+        {"HTTP/1.1 200 OK\r\nField: ", block},
+        {"HTTP/1.1 200 OK\r\n" + chunked + "3;", block},
+        {"HTTP/1.1 200 OK\r\n" + chunked + "0\r\n", "Field: x\r\n"},
+        {"HTTP/1.1 200 OK\r\n\r\n", block},
+        {"HTTP/1.1 503 X\r\n\r\n", block},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+    }));
+    CAPTURE(beginning);
+    ServerFixture fixture(respondByBody);
+    Recorder recorder(fixture);
+    std::size_t sentBytes = 0;
+    {
+        RawServer server([&](RawServer::Connection &connection) {
+            connection.write(beginning);
+            while (sentBytes < MaximumBytes && connection.write(filler)) {
+                sentBytes += filler.size();
+            }
+        });
+        CHECK_THAT(recorder.run({StreamCallKind::Generate, server.address(), "x"}), Catch::EndsWith("broken"));
+    }
+    CHECK(sentBytes < Bound);
+}
+
+TEST_CASE("an engine stream that is reset while the request is written is broken")
+{
+    constexpr int Repetitions = 20;
+    ServerFixture fixture(respondByBody);
+    Recorder recorder(fixture);
+    const auto kind = GENERATE(StreamCallKind::Generate, StreamCallKind::Service);
+    const std::string body(8 << 20, 'x');
+    for (int i = 0; i < Repetitions; ++i) {
+        RawServer server(
+            [](RawServer::Connection &connection) {
+                connection.write("HTTP/1.1 200 OK\r\n\r\n" + std::string(R"({"result":"booked"})") + "\n");
+                connection.reset();
+            },
+            4096);
+        CHECK_THAT(recorder.run({kind, server.address(), body}), Catch::EndsWith("broken"));
+    }
+}
