Keep few bytes of a request that the parser has not consumed

What callers saw: nothing so far; found by checking every place that reads bytes of others. A caller could send a chunk's extension or a trailer without end and have the instance keep as much as the largest body, 4 MiB a connection, beside the memory for bodies.

Cause: the buffer of a connection was as large as the largest head and body together, though bodies are taken out of it at once.

Change: the buffer holds the largest head and 64 KiB.

Evidence: before, the new test sends 2 MiB without an answer; now the request is rejected within 512 KiB. Requests that are cut at any byte reached no handler before either; the test is kept.

--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -656,3 +656,30 @@
     }
     CHECK(dispatched == 2);
 }
+
+// The bytes that the parser had not consumed could take as much as a whole body, which the budget did not count.
+TEST_CASE("an HTTP server keeps few bytes of a request without end", "[http]")
+{
+    static constexpr std::size_t Bound = 512 << 10;
+    ServerFixture fixture(echoRequest);
+    const std::string block(16 << 10, 'x');
+    const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
+        {"", block},
+        {"GET / HTTP/1.1\r\nField: ", block},
+        {"GET / HTTP/1.1\r\n", "Field: " + block + "\r\n"},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3;", block},
+        {"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Field: " + block + "\r\n"},
+    }));
+    CAPTURE(beginning);
+    auto socket = fixture.connect();
+    boost::system::error_code error;
+    std::size_t sentBytes = boost::asio::write(socket, boost::asio::buffer(beginning), error);
+    while (!error && socket.available() == 0 && sentBytes < 4 * Bound) {
+        sentBytes += boost::asio::write(socket, boost::asio::buffer(filler), error);
+        std::this_thread::sleep_for(2ms);
+    }
+    REQUIRE(sentBytes < Bound);
+    std::string answer;
+    boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n", error);
+    CHECK_THAT(answer, Catch::StartsWith("HTTP/1.1 4"));
+}
--- a/src/libpomeloport/transport/httpconnection.cpp
+++ b/src/libpomeloport/transport/httpconnection.cpp
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds LingerTimeout{2000};
 /// Bodies up to this size are not counted, so that small requests go on while large ones wait for memory.
 constexpr std::size_t UncountedBodyBytes = 16 * 1024;
+/// Received bytes beside those of a head that wait for the parser, such as a piece of a body or a chunk's extension.
+constexpr std::size_t UnparsedBytes = 64 * 1024;
 /// Unit in which the memory of a body of unknown length is taken.
 constexpr std::size_t MemoryStepBytes = 16 * 1024;
 /// How long a request waits for memory for its body, unread. Callers give a request up that is not read within a
@@ -52,7 +54,7 @@
     , m_memoryTimer(m_socket.get_executor())
     , m_unreadTimer(m_socket.get_executor())
     , m_progressTimer(m_socket.get_executor())
-    , m_buffer(m_state->limits.current()->headerBytes + m_state->limits.current()->bodyBytes)
+    , m_buffer(m_state->limits.current()->headerBytes + UnparsedBytes)
 {
     Error error;
     const auto endpoint = m_socket.remote_endpoint(error);
