Refuse a late call in a planned stop unless its deadline comes before the end

Cause: a stopping instance accepts what it predicts to end in time. The prediction leaves out the contexts of the batch and the prompts that engines read between the steps, and a backend server that reads no prompts is expected to take the target time of its route. No prediction bounds what a server takes.

Change: a call that arrives once callers have left (three lifetimes of their addresses, less 200 ms for the signal) is accepted only if its deadline comes before the end of the stop. Others are refused as not run before they are passed on. Earlier calls are accepted as before.

The two lines of the unit test on late calls fail without the change.

--- a/src/include/pomeloentry/decisions/entryplacement.h
+++ b/src/include/pomeloentry/decisions/entryplacement.h
@@ -64,6 +64,8 @@
     bool repeatable = false;
     /// When the instance gives up all calls because it stops; nothing unless it is stopping.
     std::optional<Instant> stopsAt;
+    /// Whether it arrived at a stopping instance after StopPlan::callersLeftAt().
+    bool arrivedLate = false;
     RegionFilter regions;
     /// How long the call waited at the start of the instance before it could be placed. All times but its wait for a
     /// place count from its arrival.
--- a/src/include/pomeloentry/decisions/stopplan.h
+++ b/src/include/pomeloentry/decisions/stopplan.h
@@ -41,6 +41,10 @@
     /// answer has begun. An admitted call has to be complete by then.
     Instant end() const;
 
+    /// Time by which callers have left that may still use the address. Calls that arrive later are not expected by
+    /// anyone and are only served if they are complete by the end in any case.
+    Instant callersLeftAt() const;
+
     /// What to do now, given the number of open calls, unfinished replies and unanswered orders.
     StopStep step(Instant now, std::uint64_t open) const;
 
@@ -49,6 +53,7 @@
     /// When the process exits, whether or not the final answers are written.
     Instant m_exitAt;
     Instant m_idleExitAt;
+    Instant m_callersLeftAt;
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/decisions/entryplacement_test.cpp
+++ b/src/libpomeloentry/decisions/entryplacement_test.cpp
@@ -582,6 +582,23 @@
     CHECK(fixture.placement.canFinish(work, *work.stopsAt - 2s));
 }
 
+// Guards against streams that arrive late in a planned stop, are passed on and are cut at its end, because their
+// servers take longer than predicted.
+TEST_CASE("a stopping instance admits a late call only if its deadline comes before the end", "[entryplacement]")
+{
+    const bool engines = GENERATE(false, true);
+    PlacementFixture fixture(1, engines);
+    auto work = engines ? prompt(1, 1000) : plainCall();
+    work.deadline = Start + 60s;
+    work.maximumAnswerTokens = 10;
+    work.stopsAt = Start + 30s;
+    CHECK(fixture.placement.canFinish(work, Start));
+    work.arrivedLate = true;
+    CHECK_FALSE(fixture.placement.canFinish(work, Start));
+    work.deadline = *work.stopsAt;
+    CHECK(fixture.placement.canFinish(work, Start));
+}
+
 // Guards against holding calls of a service that has no server, and against refusing all while servers are replaced.
 TEST_CASE("calls wait for a server only as long as a replacement lasts", "[entryplacement]")
 {
--- a/src/libpomeloentry/decisions/placementstops.cpp
+++ b/src/libpomeloentry/decisions/placementstops.cpp
@@ -41,12 +41,16 @@
 }
 
 /// Whether a call is complete before its instance stops, given the predicted time to its first event. A call without a
-/// prompt is expected to take its target time at least. One whose deadline comes before the stop always ends in time.
+/// prompt is expected to take its target time at least. One whose deadline comes before the stop always ends in time,
+/// and no other is certain to: a backend server may take longer than predicted. So this is required of late calls.
 bool EntryPlacement::endsBeforeStop(const CallWork &work, Duration predictedFirst, Instant now) const
 {
     if (!work.stopsAt || work.deadline <= *work.stopsAt) {
         return true;
     }
+    if (work.arrivedLate) {
+        return false;
+    }
     const auto *engine = engineOf(work.service);
     const double firstMs = pomeloport::seconds(predictedFirst) * MsPerSecond * FirstEventSafety;
     if (!engine || work.promptTokens == 0) {
--- a/src/libpomeloentry/decisions/stopplan.cpp
+++ b/src/libpomeloentry/decisions/stopplan.cpp
@@ -10,6 +10,8 @@
 
 /// Callers may use a discovery answer for three times its lifetime; after that, no new caller arrives.
 constexpr int AddressLifetimesInUse = 3;
+/// Allows for the time between the request to stop and its handling: callers count from the former.
+constexpr Duration SignalMargin = std::chrono::milliseconds(200);
 /// Reserve between the end of the stop and the moment at which the platform kills the process.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
 /// Part of that reserve in which the final answers are written.
@@ -21,6 +23,7 @@
     : m_end(begin + std::max(gracePeriod - ExitMargin, Duration::zero()))
     , m_exitAt(begin + std::max(gracePeriod - ExitMargin + FinalAnswerTime, Duration::zero()))
     , m_idleExitAt(std::min(begin + addressLifetime * AddressLifetimesInUse, m_end))
+    , m_callersLeftAt(begin + addressLifetime * AddressLifetimesInUse - SignalMargin)
 {
 }
 
@@ -36,6 +39,11 @@
     return m_end;
 }
 
+Instant StopPlan::callersLeftAt() const
+{
+    return m_callersLeftAt;
+}
+
 StopStep StopPlan::step(Instant now, std::uint64_t open) const
 {
     if ((open == 0 && now >= m_idleExitAt) || now >= m_exitAt) {
--- a/src/libpomeloentry/decisions/stopplan_test.cpp
+++ b/src/libpomeloentry/decisions/stopplan_test.cpp
@@ -31,6 +31,15 @@
     CHECK(plan.step(Start + 3s, 1) == StopStep::Serve);
 }
 
+// Guards against streams that arrive late in a planned stop, are passed on and are cut at its end.
+TEST_CASE("calls that arrive when callers have left are late", "[stopplan]")
+{
+    const StopPlan plan(Start, 12s, 1s);
+    CHECK(plan.callersLeftAt() > Start + 2500ms);
+    // The request to stop was sent a moment before it was handled.
+    CHECK(plan.callersLeftAt() < Start + 3s);
+}
+
 TEST_CASE("calls that are open at a second request to stop are given up at once", "[stopplan]")
 {
     StopPlan plan(Start, 8s, 1s);
--- a/src/libpomeloentry/program/entry.cpp
+++ b/src/libpomeloentry/program/entry.cpp
@@ -365,7 +365,7 @@
         boost::asio::dispatch(strand, [self = shared_from_this()] {
             if (self->stop) {
                 self->stop->endNow(steadyNow());
-                self->core->leave(self->stop->end());
+                self->core->leave(*self->stop);
                 self->checkShutdown();
             }
         });
@@ -376,7 +376,7 @@
         onShutDown = std::move(callback);
         const auto &settings = core->settings;
         stop.emplace(steadyNow(), settings.stopGracePeriod, settings.addressLifetime);
-        core->leave(stop->end());
+        core->leave(*stop);
         startingCalls->release();
         mesh->announce();
         callers->closeAfterReply();
@@ -397,7 +397,7 @@
         if (step != StopStep::Serve && !closed) {
             // What arrived before this is still answered; nothing can run that the exit would cut off.
             callers->stopAccepting();
-            core->leave(std::min(steadyNow(), stop->end()));
+            core->stopAt(std::min(steadyNow(), stop->end()));
         }
         if (step == StopStep::GiveUp) {
             auto sessions = core->sessions.all();
--- a/src/libpomeloentry/program/entrycore.h
+++ b/src/libpomeloentry/program/entrycore.h
@@ -5,6 +5,7 @@
 #include "session/sharedquarantine.h"
 
 #include "pomeloentry/decisions/entryplacement.h"
+#include "pomeloentry/decisions/stopplan.h"
 #include "pomeloentry/knowledge/routing.h"
 #include "pomeloentry/program/entrysettings.h"
 
@@ -106,15 +107,30 @@
         return count == 0 ? std::nullopt : std::optional(Instant(Duration(count)));
     }
 
-    /// Begins the shutdown.
-    void leave(Instant end)
+    /// Tells a call what it has to know of the stop of this instance, if any.
+    void applyStop(CallWork &work) const
     {
-        m_stopsAt = end.time_since_epoch().count();
+        work.stopsAt = stopsAt();
+        work.arrivedLate = work.stopsAt && work.arrival >= Instant(Duration(m_callersLeftAt.load()));
+    }
+
+    /// Begins the shutdown, or changes its end.
+    void leave(const StopPlan &plan)
+    {
+        m_callersLeftAt = plan.callersLeftAt().time_since_epoch().count();
+        stopAt(plan.end());
         leaving = true;
     }
 
+    /// Gives up open calls at this time.
+    void stopAt(Instant end)
+    {
+        m_stopsAt = end.time_since_epoch().count();
+    }
+
 private:
     std::atomic<Duration::rep> m_stopsAt{0};
+    std::atomic<Duration::rep> m_callersLeftAt{0};
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/session/admission.cpp
+++ b/src/libpomeloentry/session/admission.cpp
@@ -121,7 +121,7 @@
     if (core.settings.policy.returns.enabled && work.isReturn) {
         work.timeSpent = timeSpent;
     }
-    work.stopsAt = core.stopsAt();
+    core.applyStop(work);
     work.regions = RegionFilter(call.route->permittedRegions,
                                 organisation ? organisation->permittedRegions : std::nullopt,
                                 core.settings.regionOfDomain);
--- a/src/libpomeloentry/session/dryrun.cpp
+++ b/src/libpomeloentry/session/dryrun.cpp
@@ -188,7 +188,7 @@
     work.promptTokens = question.promptTokens;
     work.answerTokens = question.answerTokens;
     work.maximumAnswerTokens = question.answerTokens;
-    work.stopsAt = core.stopsAt();
+    core.applyStop(work);
     work.regions = RegionFilter(route->permittedRegions,
                                 organisation ? organisation->permittedRegions : std::nullopt,
                                 core.settings.regionOfDomain);
--- a/testsuite/lib/faultybackend.py
+++ b/testsuite/lib/faultybackend.py
@@ -41,7 +41,7 @@
 
     def count_run(self):
         RUNS[self.attempt] = RUNS.get(self.attempt, 0) + 1
-        print("run", self.attempt, flush=True)
+        print(f"run {self.attempt}\n", end="", flush=True)
         return RUNS[self.attempt]
 
     def send(self, text):
