Wait for conditions in the tests of broken replies

The test of orders waited for a fixed time, which a busy machine may exceed. The choice between a close and a reset stands before the loops over texts, and two comments claim no more than their tests show. No check is weaker.

--- a/src/libpomeloentry/session/ticketholder_test.cpp
+++ b/src/libpomeloentry/session/ticketholder_test.cpp
@@ -158,15 +158,21 @@
     const auto core = std::make_shared<EntryCore>(context, EntrySettings{}, 1);
     const auto holder = std::make_shared<TicketHolder>(
         core, boost::asio::make_strand(context), std::vector<Ticket>{{"e", engine.address(), "t", 9}});
+    const auto runUntil = [&context](const auto &done) {
+        const auto end = std::chrono::steady_clock::now() + 5s;
+        while (!done() && std::chrono::steady_clock::now() < end) {
+            context.restart();
+            context.run_for(5ms);
+        }
+    };
     std::string failedBackend;
     holder->reserve([&failedBackend](const std::string &failed) { failedBackend = failed; });
-    context.run_for(50ms);
+    runUntil([&failedBackend] { return !failedBackend.empty(); });
     CHECK(failedBackend == "e");
     orders = 0;
     holder->release();
     CHECK(core->openReleases == 1);
-    context.restart();
-    context.run_for(100ms);
+    runUntil([&core] { return core->openReleases == 0; });
     // Tried again as often as after no response.
     CHECK(orders == 3);
     CHECK(core->openReleases == 0);
--- a/src/libpomeloport/transport/enginestream_test.cpp
+++ b/src/libpomeloport/transport/enginestream_test.cpp
@@ -195,6 +195,7 @@
 
 TEST_CASE("an engine stream takes no broken response for a whole one and does not use its connection again")
 {
+    const bool reset = GENERATE(false, true);
     ServerFixture fixture(respondByBody);
     Recorder recorder(fixture);
     const auto chunk = encode(StreamChunk{0, "a"}) + "\n";
@@ -212,8 +213,7 @@
           ok + "Content-Length : 2\r\n\r\n{}",
           ok + "Fie ld: 2\r\n" + refused,
           std::string("HTTP/1.1 503 X\r\nContent-Length: 90\r\n\r\n") + encode(Refusal{RefusalCode::Full})}) {
-        CAPTURE(text);
-        const bool reset = GENERATE(false, true);
+        CAPTURE(text, reset);
         RawServer server([&text, reset](RawServer::Connection &connection) {
             connection.write(text);
             if (reset) {
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -471,7 +471,7 @@
     CHECK(failedPieces < pieces + 1);
 }
 
-// An informational response was taken for the reply, and the one that followed could be taken for that to the next call.
+// An informational response was taken for the reply.
 TEST_CASE("an HTTP client skips informational replies", "[http]")
 {
     ClientFixture fixture;
@@ -651,7 +651,7 @@
                 socket.set_option(boost::asio::socket_base::linger(true, 0));
             }
         }
-        // A whole request on a later connection is dispatched, so the others have been handled.
+        // A whole request is dispatched after them.
         CHECK_THAT(fixture.sendRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200"));
     }
     CHECK(dispatched == 2);
@@ -660,7 +660,7 @@
 // The bytes that the parser had not consumed could take as much as a whole body, which the budget did not count.
 TEST_CASE("an HTTP server keeps few bytes of a request without end", "[http]")
 {
-    static constexpr std::size_t Bound = 512 << 10;
+    constexpr std::size_t Bound = 512 << 10;
     ServerFixture fixture(echoRequest);
     const std::string block(16 << 10, 'x');
     const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
--- a/src/pomelocontroller/backendpoller.cpp
+++ b/src/pomelocontroller/backendpoller.cpp
@@ -11,8 +11,8 @@
 {
 
 constexpr unsigned StatusOk = 200;
-/// Maximum size of the events of an engine, which after a restart name all blocks of its cache. One reply of each engine
-/// is received at a time.
+/// Maximum size of the events of an engine, which after a restart name all blocks of its cache. One reply of each
+/// engine is received at a time.
 constexpr std::size_t MaximumEventsBytes = 16 * 1024 * 1024;
 
 } // namespace
