Print a cut stream of the slow readers' server in one piece

Beside load case.slowreaders failed once: "streams of callers that read nothing, cut at their servers: got '39', expected '40'". The log of the server has "cut" and " stream-idle-28" apart, with a line of another thread between: print() writes its arguments one by one. All 40 were cut, as the instance's log says, too. The line is written at once now; the check is as strict as before.

--- a/testsuite/slowreaders/backend.py
+++ b/testsuite/slowreaders/backend.py
@@ -31,7 +31,7 @@
                 self.send(f"{len(piece):x}\r\n{piece}\r\n")
             self.send("0\r\n\r\n")
         except OSError:
-            print("cut", self.attempt, flush=True)
+            print(f"cut {self.attempt}\n", end="", flush=True)
             self.kept = False
 
 
