--- a/src/include/pomeloentry/decisions/stopplan.h
+++ b/src/include/pomeloentry/decisions/stopplan.h
@@ -52,8 +52,8 @@
     Instant m_end;
     /// When the process exits, whether or not the final answers are written.
     Instant m_exitAt;
-    Instant m_idleExitAt;
     Instant m_callersLeftAt;
+    Instant m_idleExitAt;
 };
 
 } // namespace pomeloentry
--- a/src/libpomeloentry/decisions/stopplan.cpp
+++ b/src/libpomeloentry/decisions/stopplan.cpp
@@ -22,8 +22,8 @@
 StopPlan::StopPlan(Instant begin, Duration gracePeriod, Duration addressLifetime)
     : m_end(begin + std::max(gracePeriod - ExitMargin, Duration::zero()))
     , m_exitAt(begin + std::max(gracePeriod - ExitMargin + FinalAnswerTime, Duration::zero()))
-    , m_idleExitAt(std::min(begin + addressLifetime * AddressLifetimesInUse, m_end))
     , m_callersLeftAt(begin + addressLifetime * AddressLifetimesInUse - SignalMargin)
+    , m_idleExitAt(std::min(m_callersLeftAt + SignalMargin, m_end))
 {
 }
 
--- a/src/libpomeloport/transport/callstream_test.cpp
+++ b/src/libpomeloport/transport/callstream_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
@@ -82,62 +83,6 @@
     std::thread m_thread;
 };
 
-/// A server that answers one request with the given beginning and then with filler until the caller closes, at most
-/// MaximumBytes.
-class EndlessServer
-{
-public:
-    static constexpr std::size_t MaximumBytes = 64 << 20;
-
-    EndlessServer(std::string beginning, std::string filler)
-        : m_acceptor(m_context, {boost::asio::ip::make_address("127.42.0.7"), 0})
-        , m_thread([this, beginning = std::move(beginning), filler = std::move(filler)] { serve(beginning, filler); })
-    {
-    }
-    ~EndlessServer()
-    {
-        join();
-    }
-
-    std::string address() const
-    {
-        return "127.42.0.7:" + std::to_string(m_acceptor.local_endpoint().port());
-    }
-
-    /// Number of bytes that the caller took before it closed.
-    std::size_t sentBytes()
-    {
-        join();
-        return m_sentBytes;
-    }
-
-private:
-    void serve(const std::string &beginning, const std::string &filler)
-    {
-        tcp::socket socket(m_context);
-        m_acceptor.accept(socket);
-        boost::asio::streambuf buffer;
-        boost::system::error_code error;
-        boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
-        m_sentBytes += boost::asio::write(socket, boost::asio::buffer(beginning), error);
-        while (!error && m_sentBytes < MaximumBytes) {
-            m_sentBytes += boost::asio::write(socket, boost::asio::buffer(filler), error);
-        }
-    }
-
-    void join()
-    {
-        if (m_thread.joinable()) {
-            m_thread.join();
-        }
-    }
-
-    boost::asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::size_t m_sentBytes = 0;
-    std::thread m_thread;
-};
-
 /// Makes calls one at a time and records their events.
 class Caller
 {
@@ -160,8 +105,18 @@
         call.responseMatches = [id](const HttpResponseHead &head) {
             return fieldValue(head.fields, "Id") == id;
         };
-        CallStream stream(m_client.pool(), m_strand, call, [this](CallEvent event) {
+        boost::asio::steady_timer resumption(m_strand);
+        CallStream stream(m_client.pool(), m_strand, call, [&](CallEvent event) {
             std::visit([this](const auto &heard) { record(heard); }, event);
+            if (std::holds_alternative<callevent::Head>(event) && pause.count() > 0) {
+                stream.pause();
+                resumption.expires_after(pause);
+                resumption.async_wait([&stream](boost::system::error_code error) {
+                    if (!error) {
+                        stream.resume();
+                    }
+                });
+            }
         });
         while (!m_done) {
             m_context.run_one();
@@ -169,6 +124,8 @@
         return m_events;
     }
 
+    /// How long reading pauses once the head has come.
+    std::chrono::milliseconds pause{0};
     /// Bytes of requests that the connections had not taken, as reported.
     std::vector<std::size_t> unwritten;
 
@@ -223,11 +180,14 @@
 }
 
 /// Returns the events of a call whose connection is handled by a script.
-std::string eventsOf(const RawServer::Script &script, std::shared_ptr<const std::string> body = nullptr)
+std::string eventsOf(const RawServer::Script &script,
+                     std::shared_ptr<const std::string> body = nullptr,
+                     std::chrono::milliseconds pause = 0ms)
 {
     constexpr int ReceiveBytes = 4096;
     RawServer server(script, ReceiveBytes);
     Caller caller;
+    caller.pause = pause;
     const std::string method = body ? "POST" : "GET";
     return caller.call(server.address(), "1", method, std::move(body));
 }
@@ -318,10 +278,12 @@
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string block(64 << 10, 'x');
     const auto outcome = [&block](const std::string &beginning, const std::string &filler) {
-        Caller caller;
-        EndlessServer server(beginning, filler.empty() ? block : filler);
-        const auto events = caller.call(server.address(), "1");
-        CHECK(server.sentBytes() < Bound);
+        std::size_t sentBytes = 0;
+        const auto events = eventsOf([&](RawServer::Connection &connection) {
+            connection.write(beginning);
+            sentBytes = connection.flood(filler.empty() ? block : filler);
+        });
+        CHECK(sentBytes < Bound);
         return events;
     };
     CHECK(outcome("", {}) == " broken");
@@ -427,6 +389,19 @@
     CHECK(complete == 0);
 }
 
+TEST_CASE("a response that is reset while its reading is paused is not complete", "[callstream]")
+{
+    const auto outcome = eventsOf(
+        [](RawServer::Connection &connection) {
+            connection.write(EventStream + "\r\ndata: 1\n\n");
+            std::this_thread::sleep_for(10ms);
+            connection.reset();
+        },
+        longBody(),
+        50ms);
+    CHECK_THAT(outcome, Catch::EndsWith("lost"));
+}
+
 // The same with a server that closes: the system then resets the connection because the rest of the request is unread.
 TEST_CASE("a response that is closed before the request is written is not complete", "[callstream]")
 {
--- a/src/libpomeloport/transport/enginestream_test.cpp
+++ b/src/libpomeloport/transport/enginestream_test.cpp
@@ -246,8 +246,7 @@
 // Bytes that the parser does not consume were kept without a limit.
 TEST_CASE("an engine stream breaks a response without end off after a bounded number of bytes")
 {
-    static constexpr std::size_t Bound = 8 << 20;
-    static constexpr std::size_t MaximumBytes = 64 << 20;
+    constexpr std::size_t Bound = 8 << 20;
     const std::string block(64 << 10, 'x');
     const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
     const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
@@ -266,9 +265,7 @@
     {
         RawServer server([&](RawServer::Connection &connection) {
             connection.write(beginning);
-            while (sentBytes < MaximumBytes && connection.write(filler)) {
-                sentBytes += filler.size();
-            }
+            sentBytes = connection.flood(filler);
         });
         CHECK_THAT(recorder.run({StreamCallKind::Generate, server.address(), "x"}), Catch::EndsWith("broken"));
     }
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -572,8 +572,7 @@
 // A reply of any server could take 64 MiB.
 TEST_CASE("an HTTP client breaks a reply without end off after a bounded number of bytes", "[http]")
 {
-    static constexpr std::size_t Bound = 8 << 20;
-    static constexpr std::size_t MaximumBytes = 64 << 20;
+    constexpr std::size_t Bound = 8 << 20;
     const std::string block(64 << 10, 'x');
     const auto [beginning, filler] = GENERATE_COPY(table<std::string, std::string>({
         {"", block},
@@ -592,9 +591,7 @@
     {
         RawServer server([&](RawServer::Connection &connection) {
             connection.write(beginning);
-            while (sentBytes < MaximumBytes && connection.write(filler)) {
-                sentBytes += filler.size();
-            }
+            sentBytes = connection.flood(filler);
         });
         CHECK(fixture.outcome(server) == "failed");
     }
@@ -651,7 +648,9 @@
                 socket.set_option(boost::asio::socket_base::linger(true, 0));
             }
         }
-        // A whole request is dispatched after them.
+        while (fixture.server->connections() > 0) {
+            std::this_thread::sleep_for(1ms);
+        }
         CHECK_THAT(fixture.sendRaw("GET / HTTP/1.1\r\nConnection: close\r\n\r\n"), Catch::StartsWith("HTTP/1.1 200"));
     }
     CHECK(dispatched == 2);
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -196,6 +196,7 @@
             return;
         }
         m_timer.cancel();
+        m_replyMemory = {};
         if (m_socket) {
             error_code ignored;
             m_socket->close(ignored);
--- a/src/libpomeloport/transport/rawserver.h
+++ b/src/libpomeloport/transport/rawserver.h
@@ -49,6 +49,17 @@
             return !m_error;
         }
 
+        /// Sends the filler until the caller closes, at most MaximumFloodBytes. Returns the number of bytes that it
+        /// took.
+        std::size_t flood(std::string_view filler)
+        {
+            std::size_t total = 0;
+            while (total < MaximumFloodBytes && write(filler)) {
+                total += filler.size();
+            }
+            return total;
+        }
+
         /// Closes the connection so that the caller receives a reset.
         void reset()
         {
@@ -78,6 +89,7 @@
 
     private:
         static constexpr std::size_t BlockBytes = 64 * 1024;
+        static constexpr std::size_t MaximumFloodBytes = 64 << 20;
 
         boost::asio::ip::tcp::socket m_socket;
         boost::asio::streambuf m_buffer;
--- a/testsuite/brokenanswers/callers.py
+++ b/testsuite/brokenanswers/callers.py
@@ -20,6 +20,8 @@
 # A broken answer is known at once; a repetition may wait for a place.
 SLOWEST_S = 4
 CALLERS = 6
+# Calls that get bytes without end are made at once, with as many others beside them.
+FLOODS_OF_KIND = 8
 
 FRAMINGS = ("unframed", "closing", "length", "chunked", "stream", "stream-length", "stream-chunked")
 MALFORMED = ("status-000", "status-099", "status-101", "status-600", "status-999", "name-blank", "name-control", "name-colon",
@@ -80,8 +82,12 @@
     for length in range(HEAD_BYTES):
         yield from [("plain", f"head-{length}", ending) for ending in ("close", "reset")]
         yield "once", f"head-{length}", "close"
+
+
+def floods():
     for kind in ENDLESS:
-        yield from [("stream" if kind == "endless-event" else "plain", kind, "open"), ("plain", "whole-length", "open")] * 8
+        route = "stream" if kind == "endless-event" else "plain"
+        yield from [(route, kind, "open"), ("plain", "whole-length", "open")] * FLOODS_OF_KIND
 
 
 def runs_of(attempt):
@@ -122,8 +128,9 @@
 
     watcher = threading.Thread(target=watch)
     watcher.start()
-    with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
-        calls = [pool.submit(call, f"c-{number}.", *plan) for number, plan in enumerate(planned())]
+    for name, plans, callers in (("c", list(planned()), CALLERS), ("f", list(floods()), len(list(floods())))):
+        with concurrent.futures.ThreadPoolExecutor(callers) as pool:
+            calls = [pool.submit(call, f"{name}-{number}.", *plan) for number, plan in enumerate(plans)]
         for finished in calls:
             route, kind, ending, attempt, status, answer, complete, seconds = finished.result()
             label = "head" if kind.startswith("head-") else kind
