Separate the replica of the store from the calls that keep it up to date

Cause: FleetWatch decided when to call the store, judged its outages and sent the calls itself, so that no test could drive these decisions: it needs sockets, timers and the links of peers.

Change: StoreReplica holds the documents, the calls in progress, the backoff and the judgement of outages. It is pure: nextCall() returns the call that is due, onReply() takes its reply, and both are told the time. FleetWatch sends the calls, waits until wakeAt(), logs the outcomes and publishes them. A list that a failed call broke off is now begun again without a watch from the version whose history is gone; everything else decides as before.

--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -24,18 +24,11 @@
 namespace
 {
 
-/// Longest delay of a store reader between calls for a kind that it has no list of, since calls wait for it then. Few
-/// instances of each failure domain read the store.
-constexpr std::chrono::milliseconds LongestStartRetryDelay{250};
-/// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus the
-/// timeout, so it is kept short: changes must take effect within seconds.
-constexpr std::chrono::milliseconds WatchWait{2'000};
-/// Within this time, on top of a watch's wait, a store that is well answers or refuses a call.
-constexpr std::chrono::milliseconds AnswerTime{200};
-/// Pause after a watch that reported changes, so that one call covers several of them.
-constexpr std::chrono::milliseconds WatchPause{100};
-/// Without a call to the store within this time, its availability counts as unknown.
-constexpr Duration ContactMemory = std::chrono::seconds(5);
+/// Kinds of documents that instances hold; evacuations come last, as not every platform has them.
+constexpr std::array DocumentKinds{wire::DocumentKind::Routing,
+                                   wire::DocumentKind::Backends,
+                                   wire::DocumentKind::Evacuations};
+static_assert(DocumentKinds.size() == StoreReplica::Kinds);
 /// A store reader fetches state from a peer only after it has been behind for this long, since the store's own reply
 /// usually arrives before.
 constexpr Duration ReaderFetchDelay = std::chrono::milliseconds(250);
@@ -84,14 +77,10 @@
     , m_mesh(std::move(mesh))
     , m_strand(asio::make_strand(m_core->context))
     , m_store(m_core->context, m_core->settings.storeAddress, StoreTimeout, wire::storeCodec())
+    , m_replica(jittered)
+    , m_callTimers{asio::steady_timer(m_strand), asio::steady_timer(m_strand), asio::steady_timer(m_strand)}
     , m_tickTimer(m_strand)
 {
-    for (const auto value :
-         {wire::DocumentKind::Routing, wire::DocumentKind::Backends, wire::DocumentKind::Evacuations}) {
-        auto &entry = m_kinds.at(indexOf(value));
-        entry.kind = value;
-        entry.timer = std::make_unique<asio::steady_timer>(m_strand);
-    }
 }
 
 void FleetWatch::start(std::function<void(const FleetState &)> onPublished)
@@ -115,8 +104,8 @@
     asio::post(m_strand, [self = shared_from_this()] {
         self->m_stopped = true;
         self->m_tickTimer.cancel();
-        for (auto &entry : self->m_kinds) {
-            entry.timer->cancel();
+        for (auto &timer : self->m_callTimers) {
+            timer.cancel();
         }
     });
 }
@@ -149,237 +138,106 @@
     return m_encodedCopy;
 }
 
-FleetWatch::KindState &FleetWatch::kind(wire::DocumentKind which)
-{
-    return m_kinds.at(indexOf(which));
-}
-
 /// The kinds that are read: evacuations only where the platform has them.
-std::span<FleetWatch::KindState> FleetWatch::readKinds()
+std::span<const wire::DocumentKind> FleetWatch::readKinds() const
 {
-    const auto count = m_core->settings.evacuationBound ? m_kinds.size() : indexOf(wire::DocumentKind::Evacuations);
-    return std::span(m_kinds).first(count);
+    return std::span(DocumentKinds).first(DocumentKinds.size() - (m_core->settings.evacuationBound ? 0 : 1));
 }
 
 /// Whether the evacuations are known, or the platform has none.
-bool FleetWatch::knowsEvacuations()
-{
-    return !m_core->settings.evacuationBound || isKnown(kind(wire::DocumentKind::Evacuations));
-}
-
-/// Whether there has been a complete list of a kind, from the store or from a peer.
-bool FleetWatch::isKnown(const KindState &kind)
-{
-    return kind.hasList || kind.documents.asOf() > 0;
-}
-
-/// When to apply a removal that is seen now. Evacuations never expire, so theirs are not delayed by an outage.
-Instant FleetWatch::removalTime(const KindState &kind, Instant now) const
+bool FleetWatch::knowsEvacuations() const
 {
-    return kind.kind == wire::DocumentKind::Evacuations ? now : m_outage.removalTime(now);
+    return !m_core->settings.evacuationBound || m_replica.isKnown(wire::DocumentKind::Evacuations);
 }
 
-void FleetWatch::list(KindState &kind, const std::string &after)
+/// Sends the call for a kind if one is due, or waits until it is.
+void FleetWatch::callStore(wire::DocumentKind kind)
 {
     if (m_stopped) {
         return;
     }
-    kind.callPending = true;
-    kind.calledAt = steadyNow();
-    kind.answerDue = kind.calledAt + AnswerTime;
-    StoreCall call;
-    call.id = m_nextCall++;
-    call.operation = StoreOperation::List;
-    call.kind = wire::kindName(kind.kind);
-    call.after = after;
-    m_store.call(call, [self = shared_from_this(), &kind](StoreReply reply) {
-        asio::post(self->m_strand, [self, &kind, reply = std::move(reply)] { self->onListReply(kind, reply); });
-    });
-}
-
-void FleetWatch::onListReply(KindState &kind, const StoreReply &reply)
-{
-    // A page without a readable object names no place to go on from, and the list would seem complete without the rest.
-    const bool cannotContinue = reply.more && reply.objects.empty();
-    if (reply.status != StoreStatus::Ok || cannotContinue) {
-        kind.listedObjects.clear();
-        retryLater(kind, reply);
-        return;
-    }
-    recordStoreAnswer(kind);
-    if (kind.listedObjects.empty()) {
-        kind.listAsOf = reply.storeVersion;
-    }
-    kind.listedObjects.insert(kind.listedObjects.end(), reply.objects.begin(), reply.objects.end());
-    if (reply.more && isKnown(kind) && !m_isReader) {
-        // A peer's state came first, which costs less to apply than the rest of the list.
-        kind.listedObjects.clear();
-        continueReading(kind);
-        return;
+    if (const auto call = m_replica.nextCall(kind, steadyNow())) {
+        m_store.call(*call, [self = shared_from_this(), kind](StoreReply reply) {
+            asio::post(self->m_strand, [self, kind, reply = std::move(reply)] { self->onStoreReply(kind, reply); });
+        });
     }
-    if (reply.more) {
-        list(kind, reply.objects.back().name);
+    auto &timer = m_callTimers.at(indexOf(kind));
+    const auto wakeAt = m_replica.wakeAt(kind);
+    if (!wakeAt) {
+        timer.cancel();
         return;
     }
-    // The list is as old as its first page; the watch repeats changes made between the pages.
-    const auto now = steadyNow();
-    const auto pendingBefore = kind.documents.pendingRemovals();
-    const bool wasKnown = isKnown(kind);
-    const bool changed = kind.documents.replace(kind.listedObjects, kind.listAsOf, removalTime(kind, now), now);
-    logDelayedRemovals(kind, pendingBefore, now);
-    kind.listedObjects.clear();
-    kind.hasList = true;
-    logEvent(LogLevel::Info,
-             "listed",
-             {{"kind", nameOf(kind.kind)}, {"documents", kind.documents.documents().size()}, {"as_of", kind.listAsOf}});
-    if (changed || !wasKnown) {
-        publish(true);
-    }
-    continueReading(kind);
+    timer.expires_at(*wakeAt);
+    timer.async_wait([self = shared_from_this(), kind](boost::system::error_code error) {
+        if (!error) {
+            self->callStore(kind);
+        }
+    });
 }
 
-/// Issues the next call for a kind if this instance is a store reader or has no list of the kind yet.
-void FleetWatch::continueReading(KindState &kind)
+void FleetWatch::callStoreForAll()
 {
-    kind.callPending = false;
-    if (m_stopped || (isKnown(kind) && !m_isReader)) {
-        return;
+    for (const auto kind : readKinds()) {
+        callStore(kind);
     }
-    kind.hasList ? watch(kind) : list(kind, {});
-}
-
-void FleetWatch::watch(KindState &kind)
-{
-    kind.callPending = true;
-    kind.calledAt = steadyNow();
-    kind.answerDue = kind.calledAt + WatchWait + AnswerTime;
-    StoreCall call;
-    call.id = m_nextCall++;
-    call.operation = StoreOperation::Watch;
-    call.kind = wire::kindName(kind.kind);
-    call.ifVersion = kind.documents.asOf();
-    call.wait = WatchWait;
-    m_store.call(call, [self = shared_from_this(), &kind](StoreReply reply) {
-        asio::post(self->m_strand, [self, &kind, reply = std::move(reply)] { self->onWatchReply(kind, reply); });
-    });
 }
 
-void FleetWatch::onWatchReply(KindState &kind, const StoreReply &reply)
+void FleetWatch::onStoreReply(wire::DocumentKind kind, const StoreReply &reply)
 {
-    if (reply.status == StoreStatus::HistoryGone) {
-        logEvent(LogLevel::Info, "history_gone", {{"kind", nameOf(kind.kind)}});
-        recordStoreAnswer(kind);
-        list(kind, {});
-        return;
-    }
-    if (reply.status != StoreStatus::Ok) {
-        retryLater(kind, reply);
+    if (m_stopped) {
         return;
     }
-    recordStoreAnswer(kind);
     const auto now = steadyNow();
-    const auto pendingBefore = kind.documents.pendingRemovals();
-    const bool changed = kind.documents.apply(reply.objects, reply.storeVersion, removalTime(kind, now), now);
-    logDelayedRemovals(kind, pendingBefore, now);
-    if (changed) {
+    const auto outcome = m_replica.onReply(kind, reply, now);
+    logReply(kind, reply, outcome);
+    if (outcome.answered) {
+        m_core->placement.storeAnswered(now);
+    } else {
+        m_core->placement.storeFailed(now);
+    }
+    if (outcome.documentsChanged) {
         publish(true);
-    } else if (!reply.objects.empty()) {
-        // Pending removals count as a change, although the documents are still the same.
+    } else if (outcome.changesPending) {
         refreshCopies();
-        shareKnownChanges();
     }
-    if (reply.objects.empty()) {
-        continueReading(kind);
-    } else {
-        continueReadingAfter(kind, WatchPause);
-    }
-}
-
-void FleetWatch::continueReadingAfter(KindState &kind, std::chrono::milliseconds delay)
-{
-    kind.timer->expires_after(delay);
-    kind.timer->async_wait([self = shared_from_this(), &kind](boost::system::error_code error) {
-        if (!error) {
-            self->continueReading(kind);
-        }
-    });
+    shareKnownChanges();
+    callStoreForAll();
 }
 
-void FleetWatch::retryLater(KindState &kind, const StoreReply &reply)
+void FleetWatch::logReply(wire::DocumentKind kind, const StoreReply &reply, const ReplyOutcome &outcome) const
 {
-    if (m_stopped) {
-        return;
-    }
-    const auto now = steadyNow();
-    // A call that was not answered in time may have met a store that was already silent; a refused one shows it is now.
-    m_outage.failed(now > kind.answerDue ? kind.calledAt : now, now);
-    m_storeCalledAt = now;
-    m_core->placement.storeFailed(now);
-    if (!std::exchange(m_storeUnavailable, true)) {
+    const auto &documents = m_replica.documents(kind);
+    if (outcome.storeLost) {
         logEvent(LogLevel::Warning,
                  "dependency_lost",
-                 {{"dependency", "store"}, {"kind", nameOf(kind.kind)}, {"status", nameOf(reply.status)}});
+                 {{"dependency", "store"}, {"kind", nameOf(kind)}, {"status", nameOf(reply.status)}});
     }
-    shareKnownChanges();
-    auto delay = retryDelay(++kind.failures);
-    if (!m_isReader && !peersLack(kind)) {
-        kind.callPending = false;
-        return;
-    }
-    if (m_isReader && !isKnown(kind)) {
-        delay = std::min(delay, LongestStartRetryDelay);
-    }
-    continueReadingAfter(kind, jittered(delay));
-}
-
-void FleetWatch::recordStoreAnswer(KindState &kind)
-{
-    kind.failures = 0;
-    const auto now = steadyNow();
-    m_storeCalledAt = now;
-    m_core->placement.storeAnswered(now);
-    if (m_storeUnavailable) {
-        m_storeUnavailable = false;
-        shareKnownChanges();
+    if (outcome.regainedAfter) {
         logEvent(LogLevel::Info,
                  "dependency_regained",
-                 {{"dependency", "store"}, {"last_failure_ms", (now - m_outage.lastFailure()).count() / 1000}});
-        // The other kinds need not wait for the end of their longer delays.
-        for (auto &other : readKinds()) {
-            if (other.failures > 0 && other.timer->cancel() > 0) {
-                continueReadingAfter(other, jittered(FirstRetryDelay));
-            }
-        }
+                 {{"dependency", "store"}, {"last_failure_ms", outcome.regainedAfter->count() / 1000}});
     }
-}
-
-/// Logs that documents which the store no longer has stay in use for a while.
-void FleetWatch::logDelayedRemovals(const KindState &kind, std::size_t before, Instant now) const
-{
-    if (kind.documents.pendingRemovals() > before) {
+    if (outcome.historyGone) {
+        logEvent(LogLevel::Info, "history_gone", {{"kind", nameOf(kind)}});
+    }
+    if (outcome.removalDelay) {
         logEvent(LogLevel::Info,
                  "removals_delayed",
-                 {{"kind", nameOf(kind.kind)},
-                  {"pending", kind.documents.pendingRemovals()},
-                  {"delay_ms", (m_outage.removalTime(now) - now).count() / 1000},
-                  {"as_of", kind.documents.asOf()}});
+                 {{"kind", nameOf(kind)},
+                  {"pending", documents.pendingRemovals()},
+                  {"delay_ms", outcome.removalDelay->count() / 1000},
+                  {"as_of", documents.asOf()}});
     }
-}
-
-/// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store
-/// itself and depends on the delay that the peer has for them.
-std::optional<Instant> FleetWatch::ownRemovalTime(const KindState &kind, Instant now) const
-{
-    if (kind.kind == wire::DocumentKind::Evacuations) {
-        return now;
+    if (outcome.listed) {
+        logEvent(LogLevel::Info,
+                 "listed",
+                 {{"kind", nameOf(kind)}, {"documents", documents.documents().size()}, {"as_of", documents.asOf()}});
     }
-    const bool answered = !m_storeUnavailable && now - m_storeCalledAt <= ContactMemory;
-    return m_isReader && kind.hasList && answered ? std::optional(m_outage.removalTime(now)) : std::nullopt;
 }
 
 void FleetWatch::adoptRouting()
 {
-    const auto &documents = kind(wire::DocumentKind::Routing).documents.documents();
+    const auto &documents = m_replica.documents(wire::DocumentKind::Routing).documents();
     const auto document = documents.find(std::string(wire::routingName()));
     if (document == documents.end() || document->second.version == m_routingDecoded) {
         return;
@@ -417,7 +275,7 @@
                       {"domain", backend.failureDomain},
                       {"leaving", backend.leaving},
                       {"started_at", backend.startedAt},
-                      {"as_of", kind(wire::DocumentKind::Backends).documents.asOf()}});
+                      {"as_of", m_replica.documents(wire::DocumentKind::Backends).asOf()}});
         }
     }
     for (const auto &[name, backend] : before.backends) {
@@ -430,7 +288,7 @@
 /// Logs the failure domains whose evacuation has begun or ended.
 void FleetWatch::logEvacuations(const FleetState &before, const FleetState &next, std::string_view source)
 {
-    const auto &replica = kind(wire::DocumentKind::Evacuations).documents;
+    const auto &replica = m_replica.documents(wire::DocumentKind::Evacuations);
     const auto changes = evacuationChanges(before.evacuatedDomains, next.evacuatedDomains);
     for (const auto &domain : changes.began) {
         logEvent(LogLevel::Warning,
@@ -478,11 +336,11 @@
     if (m_routing && !next->routing && !std::exchange(m_loggedMissingEvacuations, true)) {
         logEvent(LogLevel::Info, "evacuations_awaited", {{"version", m_routing->version}});
     }
-    next->backendsListed = isKnown(kind(wire::DocumentKind::Backends));
-    for (const auto &[name, document] : kind(wire::DocumentKind::Evacuations).documents.documents()) {
+    next->backendsListed = m_replica.isKnown(wire::DocumentKind::Backends);
+    for (const auto &[name, document] : m_replica.documents(wire::DocumentKind::Evacuations).documents()) {
         next->evacuatedDomains.insert(name);
     }
-    const auto &documents = kind(wire::DocumentKind::Backends).documents.documents();
+    const auto &documents = m_replica.documents(wire::DocumentKind::Backends).documents();
     std::erase_if(m_decodedBackends, [&documents](const auto &entry) { return !documents.contains(entry.first); });
     for (const auto &[name, document] : documents) {
         if (const auto *backend = decodedBackend(name, document)) {
@@ -508,24 +366,20 @@
 {
     const auto now = steadyNow();
     const std::lock_guard lock(m_copyMutex);
-    m_routingCopy = kind(wire::DocumentKind::Routing).documents.copy(now);
-    m_backendsCopy = kind(wire::DocumentKind::Backends).documents.copy(now);
-    m_evacuationsCopy = kind(wire::DocumentKind::Evacuations).documents.copy(now);
+    m_routingCopy = m_replica.documents(wire::DocumentKind::Routing).copy(now);
+    m_backendsCopy = m_replica.documents(wire::DocumentKind::Backends).copy(now);
+    m_evacuationsCopy = m_replica.documents(wire::DocumentKind::Evacuations).copy(now);
     m_copiedAt = now;
     m_encodedCopy.clear();
 }
 
 void FleetWatch::shareKnownChanges()
 {
-    const KnownChanges known{kind(wire::DocumentKind::Routing).documents.lastChangeVersion(),
-                             kind(wire::DocumentKind::Backends).documents.lastChangeVersion(),
-                             kind(wire::DocumentKind::Evacuations).documents.lastChangeVersion()};
-    m_evacuationsAsOf = kind(wire::DocumentKind::Evacuations).documents.asOf();
-    auto contact = m_storeUnavailable ? StoreContact::Failing : StoreContact::Answering;
-    if (steadyNow() - m_storeCalledAt > ContactMemory) {
-        contact = StoreContact::Unknown;
-    }
-    m_mesh->setStoreKnowledge(known, m_routing && knowsEvacuations(), contact);
+    const KnownChanges known{m_replica.documents(wire::DocumentKind::Routing).lastChangeVersion(),
+                             m_replica.documents(wire::DocumentKind::Backends).lastChangeVersion(),
+                             m_replica.documents(wire::DocumentKind::Evacuations).lastChangeVersion()};
+    m_evacuationsAsOf = m_replica.documents(wire::DocumentKind::Evacuations).asOf();
+    m_mesh->setStoreKnowledge(known, m_routing && knowsEvacuations(), m_replica.contact(steadyNow()));
 }
 
 void FleetWatch::tick()
@@ -533,7 +387,7 @@
     if (m_stopped) {
         return;
     }
-    if (kind(wire::DocumentKind::Backends).documents.applyDueRemovals(steadyNow())) {
+    if (m_replica.applyDueRemovals(wire::DocumentKind::Backends, steadyNow())) {
         publish(false);
     }
     logServerPace(*m_core);
@@ -559,8 +413,8 @@
 void FleetWatch::updateReaderRole(const std::vector<PeerView> &peers)
 {
     const bool isReader = readsStore(m_mesh->ownCandidate(), readerCandidates(peers));
-    if (isReader != m_isReader) {
-        m_isReader = isReader;
+    if (isReader != m_replica.isReader()) {
+        m_replica.setReader(isReader);
         logEvent(LogLevel::Info, "store_reader", {{"reads", isReader}, {"live_instances", peers.size() + 1}});
     }
     const auto now = steadyNow();
@@ -569,19 +423,16 @@
     }
     const bool peerReads =
         std::ranges::any_of(peers, [](const PeerView &peer) { return peer.contact == StoreContact::Answering; });
-    const bool lacksState = !std::ranges::all_of(readKinds(), isKnown);
+    const bool lacksState =
+        !std::ranges::all_of(readKinds(), [this](wire::DocumentKind kind) { return m_replica.isKnown(kind); });
     const bool isTurn = !isReader && lacksState && m_startReads.takeTurn(peers.size(), peerReads, drawnShare(), now);
-    for (auto &entry : readKinds()) {
-        if ((isReader || (!isKnown(entry) && (isTurn || peersLack(entry)))) && !entry.callPending) {
-            continueReading(entry);
+    for (const auto kind : readKinds()) {
+        const bool peersLack = kind == wire::DocumentKind::Evacuations && m_evacuationsFetchFrom != Instant{};
+        if (isReader || (!m_replica.isKnown(kind) && (isTurn || peersLack))) {
+            m_replica.read(kind, now);
         }
     }
-}
-
-/// Whether this instance has to read a kind from the store since peers that serve callers have none to tell of.
-bool FleetWatch::peersLack(const KindState &kind) const
-{
-    return kind.kind == wire::DocumentKind::Evacuations && m_evacuationsFetchFrom != Instant{};
+    callStoreForAll();
 }
 
 /// Asks a peer whether this process has missed an evacuation while it was stopped.
@@ -616,9 +467,9 @@
 /// the evacuations.
 void FleetWatch::fetchIfBehind(const std::vector<PeerView> &peers, bool atOnce)
 {
-    const auto routing = kind(wire::DocumentKind::Routing).documents.asOf();
-    const auto backends = kind(wire::DocumentKind::Backends).documents.asOf();
-    const auto evacuations = kind(wire::DocumentKind::Evacuations).documents.asOf();
+    const auto routing = m_replica.documents(wire::DocumentKind::Routing).asOf();
+    const auto backends = m_replica.documents(wire::DocumentKind::Backends).asOf();
+    const auto evacuations = m_replica.documents(wire::DocumentKind::Evacuations).asOf();
     const auto now = steadyNow();
     const bool lacksEvacuations = !knowsEvacuations() && now >= m_evacuationsFetchFrom;
     std::vector<const PeerView *> ahead;
@@ -638,7 +489,8 @@
     if (!m_behindSince) {
         m_behindSince = now;
     }
-    const auto delay = m_isReader && routing > 0 && backends > 0 && !lacksEvacuations ? ReaderFetchDelay : FetchDelay;
+    const auto delay =
+        m_replica.isReader() && routing > 0 && backends > 0 && !lacksEvacuations ? ReaderFetchDelay : FetchDelay;
     if ((!atOnce && now - *m_behindSince < delay) || m_fetchingPeerState) {
         return;
     }
@@ -654,10 +506,10 @@
 void FleetWatch::fetchPeerState(const PeerView &peer)
 {
     m_fetchingPeerState = true;
-    auto target = "/state?routing=" + std::to_string(kind(wire::DocumentKind::Routing).documents.asOf())
-        + "&backends=" + std::to_string(kind(wire::DocumentKind::Backends).documents.asOf());
+    auto target = "/state?routing=" + std::to_string(m_replica.documents(wire::DocumentKind::Routing).asOf())
+        + "&backends=" + std::to_string(m_replica.documents(wire::DocumentKind::Backends).asOf());
     if (m_core->settings.evacuationBound) {
-        target += "&evacuations=" + std::to_string(kind(wire::DocumentKind::Evacuations).documents.asOf());
+        target += "&evacuations=" + std::to_string(m_replica.documents(wire::DocumentKind::Evacuations).asOf());
     }
     const bool isFirst = !m_routing && !m_peerFetchFailed;
     HttpCall call{peer.address, "GET", target, {}, {}, isFirst ? FirstFetchTimeout : FetchTimeout};
@@ -687,27 +539,31 @@
         return false;
     }
     const auto now = steadyNow();
-    const auto knownBefore = std::ranges::count_if(readKinds(), isKnown);
-    const auto merge = [this, now](wire::DocumentKind which, const std::optional<DocumentCopy> &documents) {
-        return documents && kind(which).documents.merge(*documents, ownRemovalTime(kind(which), now), now);
+    const auto knownKinds = [this] {
+        return std::ranges::count_if(readKinds(), [this](wire::DocumentKind kind) { return m_replica.isKnown(kind); });
+    };
+    const auto knownBefore = knownKinds();
+    const auto merge = [this, now](wire::DocumentKind kind, const std::optional<DocumentCopy> &documents) {
+        return documents && m_replica.merge(kind, *documents, now);
     };
     const bool routing = merge(wire::DocumentKind::Routing, copy->routing);
     const bool backends = merge(wire::DocumentKind::Backends, copy->backends);
     const bool evacuations = merge(wire::DocumentKind::Evacuations, copy->evacuations);
     if (serves && !knowsEvacuations()) {
         m_evacuationsFetchFrom = now + EvacuationsFetchInterval;
+        m_replica.retryUntilKnown(wire::DocumentKind::Evacuations);
     }
     logEvent(LogLevel::Info,
              "state_from_peer",
              {{"address", address},
               {"routing", routing},
               {"backends", backends},
-              {"routing_as_of", kind(wire::DocumentKind::Routing).documents.asOf()},
-              {"backends_as_of", kind(wire::DocumentKind::Backends).documents.asOf()},
-              {"removals_delayed", kind(wire::DocumentKind::Backends).documents.pendingRemovals()},
+              {"routing_as_of", m_replica.documents(wire::DocumentKind::Routing).asOf()},
+              {"backends_as_of", m_replica.documents(wire::DocumentKind::Backends).asOf()},
+              {"removals_delayed", m_replica.documents(wire::DocumentKind::Backends).pendingRemovals()},
               {"bytes", reply->body.size()}});
     // Calls wait for the first list of a kind, also if that is empty and so changes no document.
-    if (routing || backends || evacuations || std::ranges::count_if(readKinds(), isKnown) != knownBefore) {
+    if (routing || backends || evacuations || knownKinds() != knownBefore) {
         publish(false);
     } else {
         refreshCopies();
--- a/src/libpomeloentry/knowledge/fleetwatch.h
+++ b/src/libpomeloentry/knowledge/fleetwatch.h
@@ -4,9 +4,8 @@
 #include "program/entrycore.h"
 
 #include "pomeloentry/knowledge/fleetcopy.h"
-#include "pomeloentry/knowledge/fleetdocuments.h"
-#include "pomeloentry/knowledge/storeoutage.h"
 #include "pomeloentry/knowledge/storereaders.h"
+#include "pomeloentry/knowledge/storereplica.h"
 #include "pomeloentry/wire.h"
 
 #include "pomeloport/transport/platformclient.h"
@@ -47,39 +46,12 @@
     std::string encodedChangesSince(const KnownChanges &known, bool withEvacuations);
 
 private:
-    /// Replica and synchronisation state of one document kind.
-    struct KindState
-    {
-        wire::DocumentKind kind{};
-        FleetDocuments documents;
-        /// Objects from the pages of the current list.
-        std::vector<pomeloport::StoreObject> listedObjects;
-        std::uint64_t listAsOf = 0;
-        std::unique_ptr<boost::asio::steady_timer> timer;
-        /// When the current or last call to the store was sent.
-        Instant calledAt{};
-        /// Until when the store, if it is well, has answered or refused that call.
-        Instant answerDue{};
-        std::uint32_t failures = 0;
-        bool hasList = false;
-        /// Whether a call to the store is in progress or its retry is scheduled.
-        bool callPending = false;
-    };
-
-    KindState &kind(wire::DocumentKind which);
-    std::span<KindState> readKinds();
-    bool knowsEvacuations();
-    static bool isKnown(const KindState &kind);
-    bool peersLack(const KindState &kind) const;
-    Instant removalTime(const KindState &kind, Instant now) const;
-    void list(KindState &kind, const std::string &after);
-    void onListReply(KindState &kind, const pomeloport::StoreReply &reply);
-    void watch(KindState &kind);
-    void onWatchReply(KindState &kind, const pomeloport::StoreReply &reply);
-    void continueReading(KindState &kind);
-    void continueReadingAfter(KindState &kind, std::chrono::milliseconds delay);
-    void retryLater(KindState &kind, const pomeloport::StoreReply &reply);
-    void recordStoreAnswer(KindState &kind);
+    std::span<const wire::DocumentKind> readKinds() const;
+    bool knowsEvacuations() const;
+    void callStore(wire::DocumentKind kind);
+    void callStoreForAll();
+    void onStoreReply(wire::DocumentKind kind, const pomeloport::StoreReply &reply);
+    void logReply(wire::DocumentKind kind, const pomeloport::StoreReply &reply, const ReplyOutcome &outcome) const;
     void publish(bool announce);
     void refreshCopies();
     void adoptRouting();
@@ -94,14 +66,14 @@
     void onPeerEvacuations(std::uint64_t version);
     void askPeer(const std::vector<PeerView> &peers);
     bool onPeerState(const std::string &address, bool serves, const std::optional<pomeloport::HttpReply> &reply);
-    void logDelayedRemovals(const KindState &kind, std::size_t before, Instant now) const;
-    std::optional<Instant> ownRemovalTime(const KindState &kind, Instant now) const;
 
     std::shared_ptr<EntryCore> m_core;
     std::shared_ptr<PeerMesh> m_mesh;
     boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
     pomeloport::PlatformClient m_store;
-    std::array<KindState, 3> m_kinds;
+    StoreReplica m_replica;
+    /// Wake the calls for each kind of documents.
+    std::array<boost::asio::steady_timer, StoreReplica::Kinds> m_callTimers;
     boost::asio::steady_timer m_tickTimer;
     std::function<void(const FleetState &)> m_onPublished;
     std::shared_ptr<const RoutingTable> m_routing;
@@ -127,13 +99,9 @@
     std::atomic<std::uint64_t> m_evacuationsAsOf{0};
     /// Since when a peer has been known to have changes that this instance lacks.
     std::optional<Instant> m_behindSince;
-    StoreOutage m_outage;
-    Instant m_storeCalledAt{};
-    bool m_storeUnavailable = false;
     /// End of the time after the start in which state is expected from peers.
     Instant m_readsStoreFrom{};
     StartReads m_startReads;
-    bool m_isReader = false;
     bool m_fetchingPeerState = false;
     /// From when peers may be asked for evacuations again; zero unless one that serves callers had none to tell of.
     Instant m_evacuationsFetchFrom{};
@@ -144,7 +112,6 @@
     /// Whether the last peer that was asked for its state did not answer.
     bool m_peerFetchFailed = false;
     bool m_stopped = false;
-    std::uint64_t m_nextCall = 1;
 };
 
 } // namespace pomeloentry
--- /dev/null
+++ b/src/libpomeloentry/knowledge/storereplica.cpp
@@ -0,0 +1,249 @@
+#include "pomeloentry/knowledge/storereplica.h"
+
+#include "knowledge/storecalls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomeloentry
+{
+
+using pomeloport::StoreCall;
+using pomeloport::StoreOperation;
+using pomeloport::StoreReply;
+using pomeloport::StoreStatus;
+
+namespace
+{
+
+/// Longest delay of a store reader between calls for a kind that it has no list of, since calls wait for it then. Few
+/// instances of each failure domain read the store.
+constexpr std::chrono::milliseconds LongestStartRetryDelay{250};
+/// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus the
+/// timeout, so it is kept short: changes must take effect within seconds.
+constexpr std::chrono::milliseconds WatchWait{2'000};
+/// Within this time, on top of a watch's wait, a store that is well answers or refuses a call.
+constexpr std::chrono::milliseconds AnswerTime{200};
+/// Pause after a watch that reported changes, so that one call covers several of them.
+constexpr std::chrono::milliseconds WatchPause{100};
+/// Without a call to the store within this time, its availability counts as unknown.
+constexpr Duration ContactMemory = std::chrono::seconds(5);
+
+} // namespace
+
+StoreReplica::StoreReplica(Jitter jitter)
+    : m_jitter(std::move(jitter))
+{
+}
+
+StoreReplica::KindState &StoreReplica::state(wire::DocumentKind kind)
+{
+    return m_kinds.at(static_cast<std::size_t>(kind));
+}
+
+const StoreReplica::KindState &StoreReplica::state(wire::DocumentKind kind) const
+{
+    return m_kinds.at(static_cast<std::size_t>(kind));
+}
+
+void StoreReplica::setReader(bool isReader)
+{
+    m_isReader = isReader;
+}
+
+bool StoreReplica::isReader() const
+{
+    return m_isReader;
+}
+
+void StoreReplica::retryUntilKnown(wire::DocumentKind kind)
+{
+    state(kind).retriesUntilKnown = true;
+}
+
+void StoreReplica::read(wire::DocumentKind kind, Instant now)
+{
+    auto &entry = state(kind);
+    if (!entry.pending && !entry.callAt) {
+        entry.callAt = now;
+    }
+}
+
+std::optional<StoreCall> StoreReplica::nextCall(wire::DocumentKind kind, Instant now)
+{
+    auto &entry = state(kind);
+    if (entry.pending || !entry.callAt || now < *entry.callAt) {
+        return std::nullopt;
+    }
+    entry.callAt.reset();
+    if (isKnown(kind) && !m_isReader) {
+        // A peer's state came first, which costs less to apply than the rest of a list.
+        entry.listedObjects.clear();
+        return std::nullopt;
+    }
+    StoreCall call;
+    call.id = m_nextCall++;
+    call.kind = wire::kindName(kind);
+    if (entry.needsList) {
+        call.operation = StoreOperation::List;
+        call.after = entry.listedObjects.empty() ? std::string() : entry.listedObjects.back().name;
+    } else {
+        call.operation = StoreOperation::Watch;
+        call.ifVersion = entry.documents.asOf();
+        call.wait = WatchWait;
+    }
+    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime};
+    return call;
+}
+
+std::optional<Instant> StoreReplica::wakeAt(wire::DocumentKind kind) const
+{
+    return state(kind).callAt;
+}
+
+ReplyOutcome StoreReplica::onReply(wire::DocumentKind kind, const StoreReply &reply, Instant now)
+{
+    ReplyOutcome outcome;
+    auto &entry = state(kind);
+    if (!entry.pending || entry.pending->id != reply.id) {
+        return outcome;
+    }
+    const auto call = *std::exchange(entry.pending, std::nullopt);
+    const bool isList = entry.needsList;
+    // A page without a readable object names no place to go on from, and the list would seem complete without the rest.
+    const bool cannotContinue = isList && reply.more && reply.objects.empty();
+    if (!isList && reply.status == StoreStatus::HistoryGone) {
+        outcome.historyGone = true;
+        recordAnswer(now, outcome);
+        entry.needsList = true;
+        entry.callAt = now;
+    } else if (reply.status != StoreStatus::Ok || cannotContinue) {
+        recordFailure(entry, call, now, outcome);
+        entry.listedObjects.clear();
+        if (m_isReader || entry.retriesUntilKnown) {
+            auto delay = retryDelay(entry.failures);
+            if (m_isReader && !isKnown(kind)) {
+                delay = std::min(delay, LongestStartRetryDelay);
+            }
+            entry.callAt = now + m_jitter(delay);
+        }
+    } else {
+        recordAnswer(now, outcome);
+        isList ? onListPage(kind, reply, now, outcome) : onWatchReply(kind, reply, now, outcome);
+    }
+    if (outcome.answered) {
+        entry.failures = 0;
+    }
+    return outcome;
+}
+
+void StoreReplica::onListPage(wire::DocumentKind kind, const StoreReply &reply, Instant now, ReplyOutcome &outcome)
+{
+    auto &entry = state(kind);
+    entry.callAt = now;
+    if (entry.listedObjects.empty()) {
+        entry.listAsOf = reply.storeVersion;
+    }
+    entry.listedObjects.insert(entry.listedObjects.end(), reply.objects.begin(), reply.objects.end());
+    if (reply.more) {
+        return;
+    }
+    // The list is as old as its first page; the watch repeats changes made between the pages.
+    const auto pendingBefore = entry.documents.pendingRemovals();
+    const bool wasKnown = isKnown(kind);
+    const auto removeAt = removalTime(kind, now);
+    const bool changed = entry.documents.replace(entry.listedObjects, entry.listAsOf, removeAt, now);
+    if (entry.documents.pendingRemovals() > pendingBefore) {
+        outcome.removalDelay = removeAt - now;
+    }
+    entry.listedObjects.clear();
+    entry.hasList = true;
+    entry.needsList = false;
+    outcome.listed = true;
+    outcome.documentsChanged = changed || !wasKnown;
+}
+
+void StoreReplica::onWatchReply(wire::DocumentKind kind, const StoreReply &reply, Instant now, ReplyOutcome &outcome)
+{
+    auto &entry = state(kind);
+    const auto pendingBefore = entry.documents.pendingRemovals();
+    const auto removeAt = removalTime(kind, now);
+    outcome.documentsChanged = entry.documents.apply(reply.objects, reply.storeVersion, removeAt, now);
+    outcome.changesPending = !outcome.documentsChanged && !reply.objects.empty();
+    if (entry.documents.pendingRemovals() > pendingBefore) {
+        outcome.removalDelay = removeAt - now;
+    }
+    entry.callAt = reply.objects.empty() ? now : now + WatchPause;
+}
+
+void StoreReplica::recordAnswer(Instant now, ReplyOutcome &outcome)
+{
+    outcome.answered = true;
+    m_calledAt = now;
+    if (!std::exchange(m_unavailable, false)) {
+        return;
+    }
+    outcome.regainedAfter = now - m_outage.lastFailure();
+    // The other kinds need not wait for the end of their longer delays.
+    for (auto &other : m_kinds) {
+        if (other.failures > 0 && other.callAt) {
+            other.callAt = now + m_jitter(FirstRetryDelay);
+        }
+    }
+}
+
+void StoreReplica::recordFailure(KindState &kind, const PendingCall &call, Instant now, ReplyOutcome &outcome)
+{
+    ++kind.failures;
+    m_calledAt = now;
+    // A call that was not answered in time may have met a store that was already silent; a refused one shows it is now.
+    m_outage.failed(now > call.answerDue ? call.sentAt : now, now);
+    outcome.storeLost = !std::exchange(m_unavailable, true);
+}
+
+/// When to apply a removal that is seen now. Evacuations never expire, so theirs are not delayed by an outage.
+Instant StoreReplica::removalTime(wire::DocumentKind kind, Instant now) const
+{
+    return kind == wire::DocumentKind::Evacuations ? now : m_outage.removalTime(now);
+}
+
+/// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store
+/// itself and depends on the delay that the peer has for them.
+std::optional<Instant> StoreReplica::ownRemovalTime(wire::DocumentKind kind, Instant now) const
+{
+    if (kind == wire::DocumentKind::Evacuations) {
+        return now;
+    }
+    const bool reads = m_isReader && state(kind).hasList && contact(now) == StoreContact::Answering;
+    return reads ? std::optional(m_outage.removalTime(now)) : std::nullopt;
+}
+
+bool StoreReplica::merge(wire::DocumentKind kind, const DocumentCopy &copy, Instant now)
+{
+    return state(kind).documents.merge(copy, ownRemovalTime(kind, now), now);
+}
+
+bool StoreReplica::applyDueRemovals(wire::DocumentKind kind, Instant now)
+{
+    return state(kind).documents.applyDueRemovals(now);
+}
+
+const FleetDocuments &StoreReplica::documents(wire::DocumentKind kind) const
+{
+    return state(kind).documents;
+}
+
+bool StoreReplica::isKnown(wire::DocumentKind kind) const
+{
+    return state(kind).hasList || documents(kind).asOf() > 0;
+}
+
+StoreContact StoreReplica::contact(Instant now) const
+{
+    if (now - m_calledAt > ContactMemory) {
+        return StoreContact::Unknown;
+    }
+    return m_unavailable ? StoreContact::Failing : StoreContact::Answering;
+}
+
+} // namespace pomeloentry
