Count the time after an outage of the store from its return

Cause: entries that expire in an outage are written again within two seconds of the store's return, so removals are delayed for that long. The two seconds counted from the last failed call, and a call without answer counted as failed when it was given up. A watch that was sent just before the return is given up 3.2 s later; removals that a stable store had acknowledged since then waited until 5.2 s after the return. A watch that was lost in a silence of a moment had the same effect.

Change: StoreOutage takes the span in which a call failed: a refused one when it was refused, an unanswered one between its sending and the time at which its answer was due. The store has returned by the first answer after the last such span, whenever the failure is recorded, and the delay counts from that answer. So that the answer comes soon, a watch that is 0.2 s overdue is replaced at once, on a new connection, and watches do not wait while the store has not answered since a failure. The same judgement decides what peers hear of the store, and whether the forecast for refused callers counts it as failing.

Ruled out: obeying the delays of peers while an own watch has no answer. No scenario differs with it, since entries expire later than a watch is overdue.

--- a/src/include/pomeloentry/knowledge/storereplica.h
+++ b/src/include/pomeloentry/knowledge/storereplica.h
@@ -93,6 +93,8 @@
         Instant sentAt{};
         /// Until when the store, if it is well, has answered or refused the call.
         Instant answerDue{};
+        /// Whether the store may hold the call for long.
+        bool waits = false;
     };
 
     struct KindState
@@ -102,21 +104,31 @@
         std::vector<pomeloport::StoreObject> listedObjects;
         std::uint64_t listAsOf = 0;
         std::optional<PendingCall> pending;
+        /// A watch that was not answered in time and another call has replaced. Its reply may still come.
+        std::optional<PendingCall> overdue;
         /// When the next call is due; nothing while one is pending or none is needed.
         std::optional<Instant> callAt;
         std::uint32_t failures = 0;
         bool hasList = false;
         /// Whether the next call is a list rather than a watch.
         bool needsList = true;
+        /// Whether the next watch does not wait, since it is to show whether the store answers.
+        bool probes = false;
         bool retriesUntilKnown = false;
     };
 
     KindState &state(wire::DocumentKind kind);
     const KindState &state(wire::DocumentKind kind) const;
+    static bool canReplace(const KindState &kind);
+    void onLateReply(wire::DocumentKind kind,
+                     const PendingCall &call,
+                     const pomeloport::StoreReply &reply,
+                     Instant now,
+                     ReplyOutcome &outcome);
     void onListPage(wire::DocumentKind kind, const pomeloport::StoreReply &reply, Instant now, ReplyOutcome &outcome);
     void onWatchReply(wire::DocumentKind kind, const pomeloport::StoreReply &reply, Instant now, ReplyOutcome &outcome);
     void recordAnswer(Instant now, ReplyOutcome &outcome);
-    void recordFailure(KindState &kind, const PendingCall &call, Instant now, ReplyOutcome &outcome);
+    void recordFailure(const PendingCall &call, Instant now, ReplyOutcome &outcome);
     Instant removalTime(wire::DocumentKind kind, Instant now) const;
     std::optional<Instant> ownRemovalTime(wire::DocumentKind kind, Instant now) const;
 
@@ -125,7 +137,6 @@
     StoreOutage m_outage;
     /// When the last reply arrived, or the last call was given up.
     Instant m_calledAt{};
-    bool m_unavailable = false;
     bool m_isReader = false;
     std::uint64_t m_nextCall = 1;
 };
--- a/src/include/pomeloport/protocol/store.h
+++ b/src/include/pomeloport/protocol/store.h
@@ -51,6 +51,8 @@
     bool mayBeStale = false;
     /// For Watch: maximum time to wait for a change; zero selects the client's default.
     std::chrono::milliseconds wait{};
+    /// Whether the call needs a new connection, since those that are open may have gone silent.
+    bool newConnection = false;
 };
 
 /// One stored object. Versions come from one counter for the whole store and only increase.
--- a/src/include/pomeloport/transport/httpclient.h
+++ b/src/include/pomeloport/transport/httpclient.h
@@ -36,6 +36,8 @@
     /// Counts bodies of more than UncountedReplyBytes while they are received. One that finds no place fails the call.
     std::shared_ptr<MemoryBudget> replyMemory;
     static constexpr std::size_t UncountedReplyBytes = 16 * 1024;
+    /// Whether the call needs a connection of its own, since those that are open may have gone silent.
+    bool newConnection = false;
 };
 
 /// A complete response.
--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -156,7 +156,11 @@
     if (m_stopped) {
         return;
     }
-    if (const auto call = m_replica.nextCall(kind, steadyNow())) {
+    const auto now = steadyNow();
+    if (const auto call = m_replica.nextCall(kind, now)) {
+        if (call->newConnection && m_replica.contact(now) == StoreContact::Answering) {
+            logEvent(LogLevel::Info, "watch_overdue", {{"kind", nameOf(kind)}, {"as_of", call->ifVersion}});
+        }
         m_store.call(*call, [self = shared_from_this(), kind](StoreReply reply) {
             asio::post(self->m_strand, [self, kind, reply = std::move(reply)] { self->onStoreReply(kind, reply); });
         });
@@ -192,7 +196,7 @@
     logReply(kind, reply, outcome);
     if (outcome.answered) {
         m_core->placement.storeAnswered(now);
-    } else {
+    } else if (m_replica.contact(now) == StoreContact::Failing) {
         m_core->placement.storeFailed(now);
     }
     if (outcome.documentsChanged) {
--- a/src/libpomeloentry/knowledge/storereplica.cpp
+++ b/src/libpomeloentry/knowledge/storereplica.cpp
@@ -19,9 +19,12 @@
 /// Longest delay of a store reader between calls for a kind that it has no list of, since calls wait for it then. Few
 /// instances of each failure domain read the store.
 constexpr std::chrono::milliseconds LongestStartRetryDelay{250};
-/// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus the
-/// timeout, so it is kept short: changes must take effect within seconds.
+/// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus that
+/// for an answer, so it is kept short: changes must take effect within seconds.
 constexpr std::chrono::milliseconds WatchWait{2'000};
+/// The same while the store has not answered since a call failed. Such a call is over soon, so its result tells about
+/// when the store returned.
+constexpr std::chrono::milliseconds ProbeWait{10};
 /// Within this time, on top of a watch's wait, a store that is well answers or refuses a call.
 constexpr std::chrono::milliseconds AnswerTime{200};
 /// Pause after a watch that reported changes, so that one call covers several of them.
@@ -72,6 +75,11 @@
 std::optional<StoreCall> StoreReplica::nextCall(wire::DocumentKind kind, Instant now)
 {
     auto &entry = state(kind);
+    if (canReplace(entry) && now >= entry.pending->answerDue) {
+        entry.overdue = std::exchange(entry.pending, std::nullopt);
+        entry.callAt = now;
+        entry.probes = true;
+    }
     if (entry.pending || !entry.callAt || now < *entry.callAt) {
         return std::nullopt;
     }
@@ -90,21 +98,35 @@
     } else {
         call.operation = StoreOperation::Watch;
         call.ifVersion = entry.documents.asOf();
-        call.wait = WatchWait;
+        const bool probes = std::exchange(entry.probes, false) || m_outage.isOpen() || entry.failures > 0;
+        call.wait = probes ? ProbeWait : WatchWait;
+        call.newConnection = probes;
     }
-    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime};
+    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime, call.wait == WatchWait};
     return call;
 }
 
+/// Whether another call replaces the pending one if that is not answered in time. A list is not replaced: it is
+/// expensive, and a store that is slow would have to make it twice.
+bool StoreReplica::canReplace(const KindState &kind)
+{
+    return kind.pending && kind.pending->waits && !kind.overdue;
+}
+
 std::optional<Instant> StoreReplica::wakeAt(wire::DocumentKind kind) const
 {
-    return state(kind).callAt;
+    const auto &entry = state(kind);
+    return canReplace(entry) ? std::optional(entry.pending->answerDue) : entry.callAt;
 }
 
 ReplyOutcome StoreReplica::onReply(wire::DocumentKind kind, const StoreReply &reply, Instant now)
 {
     ReplyOutcome outcome;
     auto &entry = state(kind);
+    if (entry.overdue && entry.overdue->id == reply.id) {
+        onLateReply(kind, *std::exchange(entry.overdue, std::nullopt), reply, now, outcome);
+        return outcome;
+    }
     if (!entry.pending || entry.pending->id != reply.id) {
         return outcome;
     }
@@ -118,7 +140,8 @@
         entry.needsList = true;
         entry.callAt = now;
     } else if (reply.status != StoreStatus::Ok || cannotContinue) {
-        recordFailure(entry, call, now, outcome);
+        recordFailure(call, now, outcome);
+        ++entry.failures;
         entry.listedObjects.clear();
         if (m_isReader || entry.retriesUntilKnown) {
             auto delay = retryDelay(entry.failures);
@@ -130,6 +153,7 @@
     } else {
         recordAnswer(now, outcome);
         isList ? onListPage(kind, reply, now, outcome) : onWatchReply(kind, reply, now, outcome);
+        entry.callAt = isList || reply.objects.empty() ? now : now + WatchPause;
     }
     if (outcome.answered) {
         entry.failures = 0;
@@ -137,10 +161,26 @@
     return outcome;
 }
 
+/// Processes the reply to a watch that another call has replaced, which decides when to call next.
+void StoreReplica::onLateReply(wire::DocumentKind kind,
+                               const PendingCall &call,
+                               const StoreReply &reply,
+                               Instant now,
+                               ReplyOutcome &outcome)
+{
+    if (reply.status == StoreStatus::Ok) {
+        recordAnswer(now, outcome);
+        onWatchReply(kind, reply, now, outcome);
+    } else if (reply.status == StoreStatus::HistoryGone) {
+        recordAnswer(now, outcome);
+    } else {
+        recordFailure(call, now, outcome);
+    }
+}
+
 void StoreReplica::onListPage(wire::DocumentKind kind, const StoreReply &reply, Instant now, ReplyOutcome &outcome)
 {
     auto &entry = state(kind);
-    entry.callAt = now;
     if (entry.listedObjects.empty()) {
         entry.listAsOf = reply.storeVersion;
     }
@@ -173,14 +213,15 @@
     if (entry.documents.pendingRemovals() > pendingBefore) {
         outcome.removalDelay = removeAt - now;
     }
-    entry.callAt = reply.objects.empty() ? now : now + WatchPause;
 }
 
 void StoreReplica::recordAnswer(Instant now, ReplyOutcome &outcome)
 {
     outcome.answered = true;
     m_calledAt = now;
-    if (!std::exchange(m_unavailable, false)) {
+    const bool wasOpen = m_outage.isOpen();
+    m_outage.answered(now);
+    if (!wasOpen) {
         return;
     }
     outcome.regainedAfter = now - m_outage.lastFailure();
@@ -192,19 +233,30 @@
     }
 }
 
-void StoreReplica::recordFailure(KindState &kind, const PendingCall &call, Instant now, ReplyOutcome &outcome)
+void StoreReplica::recordFailure(const PendingCall &call, Instant now, ReplyOutcome &outcome)
 {
-    ++kind.failures;
     m_calledAt = now;
-    // A call that was not answered in time may have met a store that was already silent; a refused one shows it is now.
-    m_outage.failed(now > call.answerDue ? call.sentAt : now, now);
-    outcome.storeLost = !std::exchange(m_unavailable, true);
+    const bool wasOpen = m_outage.isOpen();
+    // A call that was not answered in time may have met a store that was already silent, and may have been lost long
+    // before it is given up; a refused one shows that the store refuses now.
+    m_outage.failed(now > call.answerDue ? call.sentAt : now, std::min(now, call.answerDue));
+    outcome.storeLost = !wasOpen && m_outage.isOpen();
 }
 
 /// When to apply a removal that is seen now. Evacuations never expire, so theirs are not delayed by an outage.
 Instant StoreReplica::removalTime(wire::DocumentKind kind, Instant now) const
 {
-    return kind == wire::DocumentKind::Evacuations ? now : m_outage.removalTime(now);
+    if (kind == wire::DocumentKind::Evacuations) {
+        return now;
+    }
+    const auto &overdue = state(kind).overdue;
+    if (!overdue) {
+        return m_outage.removalTime(now);
+    }
+    // The store may be slow, or the watch may have been lost in an outage that no other call shows.
+    auto outage = m_outage;
+    outage.failed(overdue->sentAt, overdue->answerDue);
+    return outage.removalTime(now);
 }
 
 /// Returns when to apply removals that a peer tells of, or nothing if this instance gets no answers from the store
@@ -215,7 +267,7 @@
         return now;
     }
     const bool reads = m_isReader && state(kind).hasList && contact(now) == StoreContact::Answering;
-    return reads ? std::optional(m_outage.removalTime(now)) : std::nullopt;
+    return reads ? std::optional(removalTime(kind, now)) : std::nullopt;
 }
 
 bool StoreReplica::merge(wire::DocumentKind kind, const DocumentCopy &copy, Instant now)
@@ -243,7 +295,7 @@
     if (now - m_calledAt > ContactMemory) {
         return StoreContact::Unknown;
     }
-    return m_unavailable ? StoreContact::Failing : StoreContact::Answering;
+    return m_outage.isOpen() ? StoreContact::Failing : StoreContact::Answering;
 }
 
 } // namespace pomeloentry
--- a/src/libpomeloport/transport/http_test.cpp
+++ b/src/libpomeloport/transport/http_test.cpp
@@ -167,6 +167,22 @@
     REQUIRE(call(client, {fixture.server->address(), "GET", "/p", "", {}}).first);
 }
 
+// Guards against calls that find out whether a server answers on connections that may all have gone silent.
+TEST_CASE("an HTTP client uses a new connection for a call that needs one", "[http]")
+{
+    ServerFixture fixture(echoRequest);
+    HttpClient client(fixture.context);
+    HttpCall request{fixture.server->address(), "GET", "/p", "", {}};
+    REQUIRE(call(client, request).first);
+    REQUIRE(fixture.server->connections() == 1);
+    request.newConnection = true;
+    REQUIRE(call(client, request).first);
+    REQUIRE(fixture.server->connections() == 2);
+    request.newConnection = false;
+    REQUIRE(call(client, request).first);
+    REQUIRE(fixture.server->connections() == 2);
+}
+
 TEST_CASE("an HTTP client reports whether a failed call may have been sent")
 {
     ServerFixture fixture([](const std::shared_ptr<HttpExchange> &exchange) { exchange->abort(); });
--- a/src/libpomeloport/transport/httpclient.cpp
+++ b/src/libpomeloport/transport/httpclient.cpp
@@ -55,7 +55,7 @@
                 self->finish(std::nullopt);
             }
         });
-        m_socket = m_pool->acquire(m_call.address);
+        m_socket = m_call.newConnection ? nullptr : m_pool->acquire(m_call.address);
         m_reused = m_socket != nullptr;
         m_reused ? write() : connect();
     }
--- a/src/libpomeloport/transport/platformclient.cpp
+++ b/src/libpomeloport/transport/platformclient.cpp
@@ -201,6 +201,7 @@
     request.address = m_address;
     request.timeout = m_timeout;
     request.maximumReplyBytes = MaximumListBytes;
+    request.newConnection = call.newConnection;
     if (call.operation == StoreOperation::Watch) {
         request.timeout = call.wait.count() > 0 ? call.wait + m_timeout : WatchTime + WatchGracePeriod;
     }
