Derive the wait of a watch from the time in which an instance has to know again

Cause: a silent watch was given up 3.2 s after it was sent, and only then did another call follow. That is longer than the 3 s after which the instance has to know again. Both times were constants.

The wait now also follows the platform's setting of that time (bounds.stableWindowMs): what replaces the watch is answered within it. With 3 s the wait stays 2 s.

Evidence: "a configuration is known in time although connections to the store went silent" loses the replies to all waiting calls at each moment of a watch.

--- a/src/include/pomeloentry/knowledge/storereplica.h
+++ b/src/include/pomeloentry/knowledge/storereplica.h
@@ -50,7 +50,9 @@
     /// Kinds of documents that a replica can hold.
     static constexpr std::size_t Kinds = 3;
 
-    explicit StoreReplica(Jitter jitter);
+    /// Takes the time after a disturbance of its connections within which an instance has to know again what the store
+    /// has; a watch waits for less.
+    StoreReplica(Jitter jitter, Duration stableTime);
 
     /// Sets whether this instance keeps reading the store. Others call it only for kinds that they do not know yet.
     void setReader(bool isReader);
@@ -133,6 +135,7 @@
     std::optional<Instant> ownRemovalTime(wire::DocumentKind kind, Instant now) const;
 
     Jitter m_jitter;
+    const std::chrono::milliseconds m_watchWait;
     std::array<KindState, Kinds> m_kinds;
     StoreOutage m_outage;
     /// When the last reply arrived, or the last call was given up.
--- a/src/include/pomeloentry/program/entrysettings.h
+++ b/src/include/pomeloentry/program/entrysettings.h
@@ -45,6 +45,8 @@
     std::uint32_t threads = 1;
     /// Time between SIGTERM and SIGKILL.
     std::chrono::milliseconds stopGracePeriod{8000};
+    /// Time after a disturbance of its connections within which an instance has to know again what the store has.
+    std::chrono::milliseconds stableTime{3000};
     /// How long callers may cache a discovery answer.
     std::chrono::seconds addressLifetime{1};
     /// Retry budget of all instances together within the window: a fixed allowance plus a ratio of the requests.
--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -77,7 +77,7 @@
     , m_mesh(std::move(mesh))
     , m_strand(asio::make_strand(m_core->context))
     , m_store(m_core->context, m_core->settings.storeAddress, StoreTimeout, wire::storeCodec())
-    , m_replica(jittered)
+    , m_replica(jittered, m_core->settings.stableTime)
     , m_callTimers{asio::steady_timer(m_strand), asio::steady_timer(m_strand), asio::steady_timer(m_strand)}
     , m_tickTimer(m_strand)
 {
--- a/src/libpomeloentry/knowledge/storereplica.cpp
+++ b/src/libpomeloentry/knowledge/storereplica.cpp
@@ -19,9 +19,10 @@
 /// Longest delay of a store reader between calls for a kind that it has no list of, since calls wait for it then. Few
 /// instances of each failure domain read the store.
 constexpr std::chrono::milliseconds LongestStartRetryDelay{250};
-/// How long the store holds a watch without a change. An unresponsive store is detected only after this time plus that
-/// for an answer, so it is kept short: changes must take effect within seconds.
-constexpr std::chrono::milliseconds WatchWait{2'000};
+/// How long the store holds a watch without a change, at most. An unresponsive store is detected only after this time
+/// plus that for an answer, so it is kept short: changes must take effect within seconds.
+constexpr std::chrono::milliseconds LongestWatchWait{2'000};
+constexpr std::chrono::milliseconds ShortestWatchWait{200};
 /// The same while the store has not answered since a call failed. Such a call is over soon, so its result tells about
 /// when the store returned.
 constexpr std::chrono::milliseconds ProbeWait{10};
@@ -32,10 +33,19 @@
 /// Without a call to the store within this time, its availability counts as unknown.
 constexpr Duration ContactMemory = std::chrono::seconds(5);
 
+/// Returns how long a watch waits, so that the call which replaces one without answer is answered within the given
+/// time.
+std::chrono::milliseconds watchWait(Duration stableTime)
+{
+    const auto wait = std::chrono::floor<std::chrono::milliseconds>(stableTime) - 2 * AnswerTime;
+    return std::clamp(wait, ShortestWatchWait, LongestWatchWait);
+}
+
 } // namespace
 
-StoreReplica::StoreReplica(Jitter jitter)
+StoreReplica::StoreReplica(Jitter jitter, Duration stableTime)
     : m_jitter(std::move(jitter))
+    , m_watchWait(watchWait(stableTime))
 {
 }
 
@@ -92,17 +102,18 @@
     StoreCall call;
     call.id = m_nextCall++;
     call.kind = wire::kindName(kind);
+    bool waits = false;
     if (entry.needsList) {
         call.operation = StoreOperation::List;
         call.after = entry.listedObjects.empty() ? std::string() : entry.listedObjects.back().name;
     } else {
+        waits = !std::exchange(entry.probes, false) && !m_outage.isOpen() && entry.failures == 0;
         call.operation = StoreOperation::Watch;
         call.ifVersion = entry.documents.asOf();
-        const bool probes = std::exchange(entry.probes, false) || m_outage.isOpen() || entry.failures > 0;
-        call.wait = probes ? ProbeWait : WatchWait;
-        call.newConnection = probes;
+        call.wait = waits ? m_watchWait : ProbeWait;
+        call.newConnection = !waits;
     }
-    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime, call.wait == WatchWait};
+    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime, waits};
     return call;
 }
 
--- a/src/libpomeloentry/knowledge/storereplica_test.cpp
+++ b/src/libpomeloentry/knowledge/storereplica_test.cpp
@@ -131,6 +131,11 @@
         }
     }
 
+    std::uint64_t version() const
+    {
+        return m_version;
+    }
+
     bool has(wire::DocumentKind kind, const std::string &name) const
     {
         const auto found = m_objects.find(kind);
@@ -239,7 +244,7 @@
 class Fleet
 {
 public:
-    Fleet(std::size_t instances, unsigned seed)
+    Fleet(std::size_t instances, unsigned seed, Duration stableTime = StableTime)
         : m_random(seed)
     {
         store.put(Routing, "main");
@@ -247,7 +252,7 @@
             store.put(Backends, name);
         }
         for (std::size_t i = 0; i < instances; ++i) {
-            m_instances.push_back({StoreReplica([this](auto delay) { return jittered(delay); }), {}});
+            m_instances.push_back({StoreReplica([this](auto delay) { return jittered(delay); }, stableTime), {}});
             m_instances.back().replica.setReader(i < Readers);
         }
     }
@@ -281,6 +286,14 @@
         });
     }
 
+    /// Whether all instances know the changes up to a version of the store.
+    bool allKnow(wire::DocumentKind kind, std::uint64_t version) const
+    {
+        return std::ranges::all_of(m_instances, [kind, version](const auto &instance) {
+            return instance.replica.documents(kind).lastChangeVersion() >= version;
+        });
+    }
+
     /// Whether any instance has a backend server.
     bool anyHas(const std::string &name) const
     {
@@ -485,3 +498,22 @@
     CAPTURE(result.scenarios, result.failed);
     CHECK(result.failed.empty());
 }
+
+// Guards against calls on a route that is gone: connections to the store go silent for good, and the watch that waits
+// on one of them is given up later than the instance has to know the configuration again.
+TEST_CASE("a configuration is known in time although connections to the store went silent", "[storereplica]")
+{
+    for (const Duration stableTime : {3000ms, 2000ms, 1000ms}) {
+        for (Duration offset = 0ms; offset < 2400ms; offset += 20ms) {
+            CAPTURE(stableTime.count(), offset.count());
+            Fleet fleet(1, static_cast<unsigned>(offset.count()), stableTime);
+            fleet.runUntil(fleet.now() + 8s + offset);
+            fleet.store.silenceConnections();
+            const auto silentAt = fleet.now();
+            fleet.runUntil(silentAt + 300ms);
+            fleet.store.put(Routing, "main");
+            fleet.runUntil(silentAt + stableTime);
+            REQUIRE(fleet.allKnow(Routing, fleet.store.version()));
+        }
+    }
+}
