Check the stops of two instances at every moment, and keep short grace periods to their last sixth

The check found one constant that fits long grace periods only: the end of a stop lies 0.4 s before the kill. A call may be cut while its server works on it in the last sixth of the grace period only, and with less than 2.4 s that sixth is shorter.

Change: the reserve before the kill is an eighth of the grace period, 0.4 s at most, so nothing changes from 3.2 s on.

--- a/src/libpomeloentry/decisions/stopplan.cpp
+++ b/src/libpomeloentry/decisions/stopplan.cpp
@@ -12,16 +12,24 @@
 constexpr int AddressLifetimesInUse = 3;
 /// Allows for the time between the request to stop and its handling: callers count from the former.
 constexpr Duration SignalMargin = std::chrono::milliseconds(200);
-/// Reserve between the end of the stop and the moment at which the platform kills the process.
+/// Reserve between the end of the stop and the moment at which the platform kills the process, at most.
 constexpr Duration ExitMargin = std::chrono::milliseconds(400);
-/// Part of that reserve in which the final answers are written.
+/// The reserve is no more than one part in so many of a short grace period: a call that a server still works on may be
+/// given up in the last sixth of it only.
+constexpr int ExitMarginDivisor = 8;
+/// Part of the longest reserve in which the final answers are written.
 constexpr Duration FinalAnswerTime = std::chrono::milliseconds(250);
 
+Duration exitMargin(Duration gracePeriod)
+{
+    return std::min(ExitMargin, gracePeriod / ExitMarginDivisor);
+}
+
 } // namespace
 
 StopPlan::StopPlan(Instant begin, Duration gracePeriod, Duration addressLifetime)
-    : m_end(begin + std::max(gracePeriod - ExitMargin, Duration::zero()))
-    , m_exitAt(begin + std::max(gracePeriod - ExitMargin + FinalAnswerTime, Duration::zero()))
+    : m_end(begin + gracePeriod - exitMargin(gracePeriod))
+    , m_exitAt(m_end + exitMargin(gracePeriod) * FinalAnswerTime.count() / ExitMargin.count())
     , m_callersLeftAt(begin + addressLifetime * AddressLifetimesInUse - SignalMargin)
     , m_idleExitAt(std::min(m_callersLeftAt + SignalMargin, m_end))
 {
