Log an overdue watch only where there is one

Cause: watch_overdue was logged for each call on a new connection while the store answered, so also for retries after a watch that the store had cut off.

Change: the line is logged only while a watch is overdue. Unit tests of the store's replica and of FleetWatch pass.

--- a/src/include/pomeloentry/knowledge/storereplica.h
+++ b/src/include/pomeloentry/knowledge/storereplica.h
@@ -70,6 +70,9 @@
     /// When nextCall() has to be asked again; nothing while it depends on a reply.
     std::optional<Instant> wakeAt(wire::DocumentKind kind) const;
 
+    /// Whether a watch was not answered in time and its reply may still come.
+    bool hasOverdueWatch(wire::DocumentKind kind) const;
+
     /// Processes the reply to a call, also one that failed or was not answered in time.
     ReplyOutcome onReply(wire::DocumentKind kind, const pomeloport::StoreReply &reply, Instant now);
 
--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -158,7 +158,7 @@
     }
     const auto now = steadyNow();
     if (const auto call = m_replica.nextCall(kind, now)) {
-        if (call->newConnection && m_replica.contact(now) == StoreContact::Answering) {
+        if (call->newConnection && m_replica.hasOverdueWatch(kind)) {
             logEvent(LogLevel::Info, "watch_overdue", {{"kind", nameOf(kind)}, {"as_of", call->ifVersion}});
         }
         m_store.call(*call, [self = shared_from_this(), kind](StoreReply reply) {
--- a/src/libpomeloentry/knowledge/storereplica.cpp
+++ b/src/libpomeloentry/knowledge/storereplica.cpp
@@ -130,6 +130,11 @@
     return canReplace(entry) ? std::optional(entry.pending->answerDue) : entry.callAt;
 }
 
+bool StoreReplica::hasOverdueWatch(wire::DocumentKind kind) const
+{
+    return state(kind).overdue.has_value();
+}
+
 ReplyOutcome StoreReplica::onReply(wire::DocumentKind kind, const StoreReply &reply, Instant now)
 {
     ReplyOutcome outcome;
