--- a/src/include/pomeloentry/knowledge/peertable.h
+++ b/src/include/pomeloentry/knowledge/peertable.h
@@ -2,6 +2,7 @@
 
 #include "pomeloentry/decisions/promptquarantine.h"
 #include "pomeloentry/decisions/servernotices.h"
+#include "pomeloentry/knowledge/storeversion.h"
 #include "pomeloentry/knowledge/workledger.h"
 
 #include "pomeloport/clock.h"
@@ -53,17 +54,19 @@
 /// instance that it missed a change.
 struct KnownChanges
 {
-    std::uint64_t routing = 0;
-    std::uint64_t backends = 0;
-    /// Encoded as an optional part of PeerMessage.
-    std::uint64_t evacuations = 0;
+    StoreVersion routing;
+    StoreVersion backends;
+    StoreVersion evacuations;
+    /// Digest of what the instance uses otherwise than a restored store has it; zero if there is nothing.
+    std::uint64_t retained = 0;
 
     auto operator<=>(const KnownChanges &) const = default;
 
+    /// The eras and the other members are encoded as optional parts of PeerMessage.
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(routing, backends);
+        archive(routing.revision, backends.revision);
     }
 };
 
@@ -128,9 +131,9 @@
     }
 };
 
-/// Encodes a message. Behind the fixed fields, it has optional parts in a fixed order: the notices, the version of the
-/// evacuations, the origins of the work items. Those behind the last one that is not empty are left out, so that
-/// instances of earlier versions read all messages without them.
+/// Encodes a message. Behind the fixed fields, it has optional parts in a fixed order: the notices, the revision of the
+/// evacuations, the origins of the work items, the eras of the known changes with the digest. Those behind the last one
+/// that is not empty are left out, so that instances of earlier versions read all messages without them.
 std::string encodePeerMessage(const PeerMessage &message);
 
 /// Returns nothing when the bytes are not a message.
--- a/src/include/pomeloentry/knowledge/storereplica.h
+++ b/src/include/pomeloentry/knowledge/storereplica.h
@@ -42,6 +42,8 @@
     std::optional<Duration> regainedAfter;
     /// Delay of the removals that the reply told of, if they are delayed.
     std::optional<Duration> removalDelay;
+    /// Whether the reply is of an earlier era than the current one and so was discarded.
+    bool isOfEarlierEra = false;
 };
 
 class StoreReplica
@@ -76,11 +78,15 @@
     /// Processes the reply to a call, also one that failed or was not answered in time.
     ReplyOutcome onReply(wire::DocumentKind kind, const pomeloport::StoreReply &reply, Instant now);
 
-    /// Merges a peer's copy of a kind. Returns whether the documents changed.
+    /// The latest era of the store that a reply or a peer's copy was of.
+    std::uint64_t era() const;
+
+    /// Merges a peer's copy of a kind. One of a later era makes this instance read the store again. Returns whether the
+    /// documents changed.
     bool merge(wire::DocumentKind kind, const DocumentCopy &copy, Instant now);
 
-    /// Removes documents whose delay has passed. Returns whether any was removed.
-    bool applyDueRemovals(wire::DocumentKind kind, Instant now);
+    /// Applies changes of documents whose delay has passed. Returns whether there were any.
+    bool applyDueChanges(wire::DocumentKind kind, Instant now);
 
     const FleetDocuments &documents(wire::DocumentKind kind) const;
 
@@ -95,6 +101,9 @@
     struct PendingCall
     {
         std::uint64_t id = 0;
+        bool isList = false;
+        /// Era of the revision or the list that the call continues; nothing for the first page of a list.
+        std::optional<std::uint64_t> era;
         Instant sentAt{};
         /// Until when the store, if it is well, has answered or refused the call.
         Instant answerDue{};
@@ -107,15 +116,17 @@
         FleetDocuments documents;
         /// Objects from the pages of the current list, and the store version of its first page.
         std::vector<pomeloport::StoreObject> listedObjects;
-        std::uint64_t listAsOf = 0;
+        StoreVersion listAsOf;
         std::optional<PendingCall> pending;
         /// A watch that was not answered in time and another call has replaced. Its reply may still come.
         std::optional<PendingCall> overdue;
         /// When the next call is due; nothing while one is pending or none is needed.
         std::optional<Instant> callAt;
         std::uint32_t failures = 0;
+        /// Watches in a row whose history the store no longer had.
+        std::uint32_t goneHistories = 0;
         bool hasList = false;
-        /// Whether the next call is a list rather than a watch.
+        /// Whether the next call is a list rather than a watch, also if the documents are of the current era.
         bool needsList = true;
         /// Whether the next watch does not wait, since it is to show whether the store answers.
         bool probes = false;
@@ -125,6 +136,12 @@
     KindState &state(wire::DocumentKind kind);
     const KindState &state(wire::DocumentKind kind) const;
     static bool canReplace(const KindState &kind);
+    bool needsList(const KindState &kind) const;
+    void beginEra(std::uint64_t era, Instant now);
+    void recordEra(const pomeloport::StoreReply &reply, Instant now);
+    void scheduleRetry(KindState &entry, wire::DocumentKind kind, Instant now);
+    void onEarlierEra(wire::DocumentKind kind, Instant now, ReplyOutcome &outcome);
+    void onHistoryGone(KindState &entry, Instant now, ReplyOutcome &outcome);
     void onLateReply(wire::DocumentKind kind,
                      const PendingCall &call,
                      const pomeloport::StoreReply &reply,
@@ -138,9 +155,10 @@
     std::optional<Instant> ownRemovalTime(wire::DocumentKind kind, Instant now) const;
 
     Jitter m_jitter;
-    const std::chrono::milliseconds m_watchWait;
+    std::chrono::milliseconds m_watchWait;
     std::array<KindState, Kinds> m_kinds;
     StoreOutage m_outage;
+    std::uint64_t m_era = 0;
     /// When the last reply arrived, or the last call was given up.
     Instant m_calledAt{};
     bool m_isReader = false;
--- a/src/include/pomeloport/protocol/store.h
+++ b/src/include/pomeloport/protocol/store.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,7 +56,8 @@
     bool newConnection = false;
 };
 
-/// One stored object. Versions come from one counter for the whole store and only increase.
+/// One stored object. Versions come from one counter for the whole store and only increase, unless the store
+/// comes back from an older copy.
 struct StoreObject
 {
     std::string kind;
@@ -99,6 +101,9 @@
     std::uint64_t storeVersion = 0;
     /// Whether a List has further objects after the last one returned.
     bool more = false;
+    /// Rises each time the store has come back from an older copy, after which it gives versions out again; nothing if
+    /// the reply names none.
+    std::optional<std::uint64_t> era;
 };
 
 } // namespace pomeloport
--- a/src/libpomeloentry/knowledge/fleetmerge_test.cpp
+++ b/src/libpomeloentry/knowledge/fleetmerge_test.cpp
@@ -113,7 +113,7 @@
             store.put(nameOf(i));
         }
         for (auto &replica : replicas) {
-            replica.replace(store.list(), store.version, m_now, m_now);
+            replica.replace(store.list(), {0, store.version}, m_now, m_now);
         }
     }
 
@@ -153,8 +153,8 @@
         m_now += 10s;
         deliver();
         for (auto &replica : replicas) {
-            replica.replace(store.list(), store.version, m_now, m_now);
-            replica.applyDueRemovals(m_now);
+            replica.replace(store.list(), {0, store.version}, m_now, m_now);
+            replica.applyDueChanges(m_now);
         }
         for (std::size_t i = 0; i < Replicas; ++i) {
             replicas[i].merge(replicas[(i + 1) % Replicas].copy(m_now), m_now, m_now);
@@ -202,21 +202,21 @@
 
     void sendWatch(std::size_t replica)
     {
-        const auto after = replicas[replica].asOf();
+        const auto after = replicas[replica].asOf().revision;
         if (after < store.compactedTo) {
             sendList(replica);
             return;
         }
         send(replica,
              [changes = store.changesAfter(after), asOf = store.version](auto &documents, auto removeAt, auto now) {
-                 documents.apply(changes, asOf, removeAt, now);
+                 documents.apply(changes, {0, asOf}, removeAt, now);
              });
     }
 
     void sendList(std::size_t replica)
     {
         send(replica, [objects = store.list(), asOf = store.version](auto &documents, auto removeAt, auto now) {
-            documents.replace(objects, asOf, removeAt, now);
+            documents.replace(objects, {0, asOf}, removeAt, now);
         });
     }
 
@@ -257,7 +257,7 @@
             message.apply(replicas[message.replica], removeAt, m_now);
         }
         for (auto &replica : replicas) {
-            replica.applyDueRemovals(m_now);
+            replica.applyDueChanges(m_now);
         }
     }
 
@@ -275,8 +275,8 @@
                 }
             }
             for (const auto &[name, document] : documents) {
-                restored += document.version <= m_dropped[i][name] ? 1 : 0;
-                m_seen[i][name] = std::max(m_seen[i][name], document.version);
+                restored += document.version.revision <= m_dropped[i][name] ? 1 : 0;
+                m_seen[i][name] = std::max(m_seen[i][name], document.version.revision);
             }
         }
     }
@@ -311,7 +311,7 @@
         for (const auto &replica : fleet.replicas) {
             std::map<std::string, std::uint64_t> known;
             for (const auto &[name, document] : replica.documents()) {
-                known[name] = document.version;
+                known[name] = document.version.revision;
             }
             REQUIRE(known == fleet.store.objects);
             REQUIRE(replica.pendingRemovals() == 0);
--- a/src/libpomeloentry/knowledge/fleetwatch.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch.cpp
@@ -8,6 +8,8 @@
 #include "pomeloport/lastreason.h"
 #include "pomeloport/logging.h"
 
+#include <xxhash.h>
+
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/post.hpp>
 
@@ -46,6 +48,11 @@
 /// Interval at which a starting instance asks for the evacuations again after a peer that serves callers had none to
 /// tell of, as an instance of an earlier version. It then reads the store as well.
 constexpr Duration EvacuationsFetchInterval = std::chrono::seconds(1);
+/// Time after a start in which an instance does not serve by what a restored store has before it has heard from an
+/// instance that serves callers, which may know later states. Instances introduce themselves within milliseconds.
+constexpr Duration RetainedStateTime = std::chrono::milliseconds(500);
+/// Era of a store that may have been restored.
+constexpr std::uint64_t FirstRestoredEra = 2;
 
 /// The same for the first fetch of an instance without state, so that another peer is asked within a second if this one
 /// has just lost power. Peers answer within milliseconds.
@@ -65,6 +72,11 @@
     return std::uniform_real_distribution<double>(0, 1)(random);
 }
 
+std::uint64_t hashOf(const std::string &text)
+{
+    return XXH64(text.data(), text.size(), 0);
+}
+
 std::size_t indexOf(wire::DocumentKind kind)
 {
     return static_cast<std::size_t>(kind);
@@ -86,19 +98,25 @@
 void FleetWatch::start(std::function<void(const FleetState &)> onPublished)
 {
     m_onPublished = std::move(onPublished);
-    m_mesh->onPeerEvacuations([weak = weak_from_this()](std::uint64_t version) {
+    m_mesh->onPeerEvacuations([weak = weak_from_this()](StoreVersion version) {
         if (const auto self = weak.lock()) {
             self->onPeerEvacuations(version);
         }
     });
     asio::post(m_strand, [self = shared_from_this()] {
         const auto delay = self->m_core->settings.isSeed ? std::chrono::milliseconds(0) : jittered(PeerStateTime);
-        self->m_readsStoreFrom = steadyNow() + delay;
+        self->m_startedAt = steadyNow();
+        self->m_readsStoreFrom = self->m_startedAt + delay;
         self->m_startReads = StartReads(self->m_readsStoreFrom);
         self->tick();
     });
 }
 
+void FleetWatch::onStoreRestored(std::function<void()> callback)
+{
+    m_onStoreRestored = std::move(callback);
+}
+
 void FleetWatch::stop()
 {
     asio::post(m_strand, [self = shared_from_this()] {
@@ -113,25 +131,26 @@
 std::string FleetWatch::encodedChangesSince(const KnownChanges &known, bool withEvacuations)
 {
     const std::lock_guard lock(m_copyMutex);
-    const bool hasPendingRemovals = !m_backendsCopy.removalDelaysMs.empty();
-    if (!hasPendingRemovals && !m_encodedCopy.empty() && m_encodedFor == known
-        && m_encodedWithEvacuations == withEvacuations) {
+    const bool hasTimes = !m_backendsCopy.removalDelaysMs.empty() || m_retainedDocuments > 0;
+    if (!hasTimes && !m_encodedCopy.empty() && m_encodedFor == known && m_encodedWithEvacuations == withEvacuations) {
         return m_encodedCopy;
     }
     FleetCopy copy;
-    if (m_routingCopy.lastChangeVersion > known.routing) {
+    const bool retainsOther = m_retainedDocuments > 0 && m_copiedDigest != known.retained;
+    if (m_routingCopy.lastChangeVersion > known.routing || retainsOther) {
         copy.routing = m_routingCopy;
     }
-    if (m_backendsCopy.lastChangeVersion > known.backends) {
+    if (m_backendsCopy.lastChangeVersion > known.backends || retainsOther) {
         copy.backends = m_backendsCopy;
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - m_copiedAt).count();
-        for (auto &[name, delayMs] : copy.backends->removalDelaysMs) {
-            delayMs -= std::min(delayMs, static_cast<std::uint32_t>(age));
-        }
     }
-    if (withEvacuations && m_evacuationsCopy.asOf > known.evacuations) {
+    if (withEvacuations && (m_evacuationsCopy.asOf > known.evacuations || retainsOther)) {
         copy.evacuations = m_evacuationsCopy;
     }
+    for (auto *documents : {&copy.routing, &copy.backends, &copy.evacuations}) {
+        if (*documents) {
+            (*documents)->subtractAge(steadyNow() - m_copiedAt);
+        }
+    }
     m_encodedCopy = encodeFleetCopy(copy);
     m_encodedFor = known;
     m_encodedWithEvacuations = withEvacuations;
@@ -159,7 +178,9 @@
     const auto now = steadyNow();
     if (const auto call = m_replica.nextCall(kind, now)) {
         if (call->newConnection && m_replica.hasOverdueWatch(kind)) {
-            logEvent(LogLevel::Info, "watch_overdue", {{"kind", nameOf(kind)}, {"as_of", call->ifVersion}});
+            logEvent(LogLevel::Info,
+                     "watch_overdue",
+                     {{"kind", nameOf(kind)}, {"era", m_replica.era()}, {"as_of", call->ifVersion}});
         }
         m_store.call(*call, [self = shared_from_this(), kind](StoreReply reply) {
             asio::post(self->m_strand, [self, kind, reply = std::move(reply)] { self->onStoreReply(kind, reply); });
@@ -193,6 +214,7 @@
     }
     const auto now = steadyNow();
     const auto outcome = m_replica.onReply(kind, reply, now);
+    noteEra("store");
     logReply(kind, reply, outcome);
     if (outcome.answered) {
         m_core->placement.storeAnswered(now);
@@ -201,7 +223,7 @@
     }
     if (outcome.documentsChanged) {
         publish(true);
-    } else if (outcome.changesPending) {
+    } else if (outcome.changesPending || outcome.listed) {
         refreshCopies();
     }
     shareKnownChanges();
@@ -221,6 +243,11 @@
                  "dependency_regained",
                  {{"dependency", "store"}, {"last_failure_ms", outcome.regainedAfter->count() / 1000}});
     }
+    if (outcome.isOfEarlierEra) {
+        logEvent(LogLevel::Warning,
+                 "reply_of_earlier_era",
+                 {{"kind", nameOf(kind)}, {"era", reply.era.value_or(0)}, {"current", m_replica.era()}});
+    }
     if (outcome.historyGone) {
         logEvent(LogLevel::Info, "history_gone", {{"kind", nameOf(kind)}});
     }
@@ -230,12 +257,17 @@
                  {{"kind", nameOf(kind)},
                   {"pending", documents.pendingRemovals()},
                   {"delay_ms", outcome.removalDelay->count() / 1000},
-                  {"as_of", documents.asOf()}});
+                  {"as_of", documents.asOf().revision}});
     }
     if (outcome.listed) {
         logEvent(LogLevel::Info,
                  "listed",
-                 {{"kind", nameOf(kind)}, {"documents", documents.documents().size()}, {"as_of", documents.asOf()}});
+                 {{"kind", nameOf(kind)},
+                  {"documents", documents.documents().size()},
+                  {"era", documents.asOf().era},
+                  {"as_of", documents.asOf().revision},
+                  {"missing", documents.unconfirmedDocuments()},
+                  {"withheld", documents.withheldDocuments()}});
     }
 }
 
@@ -243,15 +275,19 @@
 {
     const auto &documents = m_replica.documents(wire::DocumentKind::Routing).documents();
     const auto document = documents.find(std::string(wire::routingName()));
-    if (document == documents.end() || document->second.version == m_routingDecoded) {
+    if (document == documents.end()) {
+        return;
+    }
+    const auto hash = hashOf(document->second.text);
+    if (hash == m_routingDecoded) {
         return;
     }
-    m_routingDecoded = document->second.version;
+    m_routingDecoded = hash;
     auto decoded = wire::decodeRouting(document->second.text);
     if (!decoded) {
         logEvent(LogLevel::Error,
                  "configuration_unreadable",
-                 {{"store_version", document->second.version}, {"detail", lastReason()}});
+                 {{"store_version", document->second.version.revision}, {"detail", lastReason()}});
         return;
     }
     // The applied version never decreases: a peer's copy may be older than the routing in use.
@@ -261,7 +297,7 @@
     if (!m_routing || decoded->version != m_routing->version) {
         logEvent(LogLevel::Info,
                  "configuration",
-                 {{"version", decoded->version}, {"store_version", document->second.version}});
+                 {{"version", decoded->version}, {"store_version", document->second.version.revision}});
     }
     m_routing = std::move(decoded);
 }
@@ -279,7 +315,7 @@
                       {"domain", backend.failureDomain},
                       {"leaving", backend.leaving},
                       {"started_at", backend.startedAt},
-                      {"as_of", m_replica.documents(wire::DocumentKind::Backends).asOf()}});
+                      {"as_of", m_replica.documents(wire::DocumentKind::Backends).asOf().revision}});
         }
     }
     for (const auto &[name, backend] : before.backends) {
@@ -298,7 +334,7 @@
         logEvent(LogLevel::Warning,
                  "evacuation",
                  {{"domain", domain},
-                  {"version", replica.documents().at(domain).version},
+                  {"version", replica.documents().at(domain).version.revision},
                   {"source", source},
                   {"in_force", next.evacuatedDomains.size()}});
     }
@@ -306,7 +342,7 @@
         logEvent(LogLevel::Warning,
                  "evacuation_end",
                  {{"domain", domain},
-                  {"version", replica.lastChangeVersion()},
+                  {"version", replica.lastChangeVersion().revision},
                   {"source", source},
                   {"in_force", next.evacuatedDomains.size()}});
     }
@@ -317,8 +353,13 @@
 const BackendEntry *FleetWatch::decodedBackend(const std::string &name, const StoredDocument &document)
 {
     auto &decoded = m_decodedBackends[name];
-    if (decoded.version != document.version) {
-        decoded.version = document.version;
+    const auto hash = hashOf(document.text);
+    // A restore gives the same text another version, or a later text of a peer the same version.
+    const bool isKnown = hash == decoded.textHash
+        && (document.version == decoded.version || document.version.era != decoded.version.era);
+    decoded.version = document.version;
+    decoded.textHash = hash;
+    if (!isKnown) {
         decoded.backend = wire::decodeBackend(name, document.text);
         if (decoded.backend) {
             decoded.backend->learnedAt = steadyNow();
@@ -330,14 +371,15 @@
 }
 
 /// Decodes the documents and publishes the resulting state; with announce, which changes read from the store need,
-/// peers are notified at once. No configuration is published before the evacuations are known, so that no call is
-/// admitted.
+/// peers are notified at once. No configuration is published before the evacuations are known, or while a peer may know
+/// a later one than a restored store, so that no call is admitted.
 void FleetWatch::publish(bool announce)
 {
     adoptRouting();
     auto next = std::make_shared<FleetState>();
-    next->routing = knowsEvacuations() ? m_routing : nullptr;
-    if (m_routing && !next->routing && !std::exchange(m_loggedMissingEvacuations, true)) {
+    m_awaitsRetained = awaitsRetained();
+    next->routing = knowsEvacuations() && !m_awaitsRetained ? m_routing : nullptr;
+    if (m_routing && !knowsEvacuations() && !std::exchange(m_loggedMissingEvacuations, true)) {
         logEvent(LogLevel::Info, "evacuations_awaited", {{"version", m_routing->version}});
     }
     next->backendsListed = m_replica.isKnown(wire::DocumentKind::Backends);
@@ -373,17 +415,27 @@
     m_routingCopy = m_replica.documents(wire::DocumentKind::Routing).copy(now);
     m_backendsCopy = m_replica.documents(wire::DocumentKind::Backends).copy(now);
     m_evacuationsCopy = m_replica.documents(wire::DocumentKind::Evacuations).copy(now);
+    m_copiedDigest = retainedDigest();
     m_copiedAt = now;
     m_encodedCopy.clear();
 }
 
 void FleetWatch::shareKnownChanges()
 {
+    noteRetained();
+    if (retainedDigest() != m_copiedDigest) {
+        refreshCopies();
+    }
     const KnownChanges known{m_replica.documents(wire::DocumentKind::Routing).lastChangeVersion(),
                              m_replica.documents(wire::DocumentKind::Backends).lastChangeVersion(),
-                             m_replica.documents(wire::DocumentKind::Evacuations).lastChangeVersion()};
-    m_evacuationsAsOf = m_replica.documents(wire::DocumentKind::Evacuations).asOf();
-    m_mesh->setStoreKnowledge(known, m_routing && knowsEvacuations(), m_replica.contact(steadyNow()));
+                             m_replica.documents(wire::DocumentKind::Evacuations).lastChangeVersion(),
+                             retainedDigest()};
+    {
+        const std::lock_guard lock(m_copyMutex);
+        m_evacuationsAsOf = m_replica.documents(wire::DocumentKind::Evacuations).asOf();
+    }
+    m_mesh->setStoreKnowledge(
+        known, m_routing && knowsEvacuations() && !m_awaitsRetained, m_replica.contact(steadyNow()));
 }
 
 void FleetWatch::tick()
@@ -391,7 +443,11 @@
     if (m_stopped) {
         return;
     }
-    if (m_replica.applyDueRemovals(wire::DocumentKind::Backends, steadyNow())) {
+    bool documentsChanged = false;
+    for (const auto kind : readKinds()) {
+        documentsChanged = m_replica.applyDueChanges(kind, steadyNow()) || documentsChanged;
+    }
+    if (documentsChanged || (m_awaitsRetained && !awaitsRetained())) {
         publish(false);
     }
     logServerPace(*m_core);
@@ -406,7 +462,7 @@
         askPeer(peers);
     }
     fetchIfBehind(peers, false);
-    m_tickTimer.expires_after(isUnconfirmed ? AskInterval : TickInterval);
+    m_tickTimer.expires_after(isUnconfirmed || m_awaitsRetained ? AskInterval : TickInterval);
     m_tickTimer.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error) {
             self->tick();
@@ -455,11 +511,17 @@
 
 /// Called on any thread with the version of the evacuations that a peer's message names. An evacuation has a bound of
 /// its own, so a change is fetched at once.
-void FleetWatch::onPeerEvacuations(std::uint64_t version)
+void FleetWatch::onPeerEvacuations(StoreVersion version)
 {
-    if (!m_core->settings.evacuationBound || version <= m_evacuationsAsOf) {
+    if (!m_core->settings.evacuationBound) {
         return;
     }
+    {
+        const std::lock_guard lock(m_copyMutex);
+        if (version <= m_evacuationsAsOf) {
+            return;
+        }
+    }
     asio::post(m_strand, [self = shared_from_this()] {
         if (!self->m_stopped) {
             self->fetchIfBehind(self->m_mesh->live(), true);
@@ -467,22 +529,126 @@
     });
 }
 
+/// Store versions up to which this instance knows the changes, and the digest of what it retains.
+KnownChanges FleetWatch::knownUpTo() const
+{
+    return {m_replica.documents(wire::DocumentKind::Routing).asOf(),
+            m_replica.documents(wire::DocumentKind::Backends).asOf(),
+            m_replica.documents(wire::DocumentKind::Evacuations).asOf(),
+            retainedDigest()};
+}
+
+/// Digest of the documents of all kinds that are used otherwise than the restored store has them; zero without any.
+std::uint64_t FleetWatch::retainedDigest() const
+{
+    std::uint64_t result = 0;
+    for (const auto kind : readKinds()) {
+        if (const auto digest = m_replica.documents(kind).retainedDigest()) {
+            result = XXH64(&digest, sizeof(digest), result + indexOf(kind));
+        }
+    }
+    return result;
+}
+
+/// Logs and counts a new era of the store. Whoever writes to the store writes again what the restored store has lost.
+void FleetWatch::noteEra(std::string_view source)
+{
+    const auto before = std::exchange(m_loggedEra, m_replica.era());
+    if (before == m_loggedEra) {
+        return;
+    }
+    m_mergedDigests.clear();
+    logEvent(before == 0 ? LogLevel::Info : LogLevel::Warning,
+             "store_era",
+             {{"before", before},
+              {"era", m_loggedEra},
+              {"source", source},
+              {"routing_as_of", m_replica.documents(wire::DocumentKind::Routing).asOf().revision},
+              {"backends_as_of", m_replica.documents(wire::DocumentKind::Backends).asOf().revision}});
+    if (before == 0) {
+        return;
+    }
+    ++m_restores;
+    if (m_onStoreRestored) {
+        m_onStoreRestored();
+    }
+}
+
+/// Logs how many documents are used otherwise than the restored store has them, when that changes.
+void FleetWatch::noteRetained()
+{
+    std::uint64_t missing = 0;
+    std::uint64_t withheld = 0;
+    for (const auto kind : readKinds()) {
+        missing += m_replica.documents(kind).unconfirmedDocuments();
+        withheld += m_replica.documents(kind).withheldDocuments();
+    }
+    if (m_retainedDocuments.exchange(missing + withheld) != missing + withheld) {
+        logEvent(LogLevel::Info,
+                 "restore_retained",
+                 {{"era", m_replica.era()}, {"missing", missing}, {"withheld", withheld}});
+    }
+}
+
+std::string FleetWatch::metricsText() const
+{
+    return "# TYPE pomelo_store_restores_total counter\npomelo_store_restores_total " + std::to_string(m_restores)
+        + "\n# TYPE pomelo_store_retained_documents gauge\npomelo_store_retained_documents "
+        + std::to_string(m_retainedDocuments) + "\n";
+}
+
+/// Whether a peer retains documents after a restore that this instance has not heard of.
+bool FleetWatch::hasUnknownRetained(const PeerView &peer) const
+{
+    const auto own = m_replica.documents(wire::DocumentKind::Backends).asOf().era;
+    return peer.known.retained != 0 && peer.known.backends.era >= own && peer.known.retained != retainedDigest()
+        && !m_mergedDigests.contains(peer.known.retained);
+}
+
+/// Whether an instance that has just started waits for a peer that serves callers, since the store may have come back
+/// from a copy that is older than what the peers know.
+bool FleetWatch::awaitsRetained() const
+{
+    if (m_replica.era() < FirstRestoredEra || m_core->fleet.current()->routing
+        || steadyNow() >= m_startedAt + RetainedStateTime) {
+        return false;
+    }
+    bool hasServingPeer = false;
+    for (const auto &peer : m_mesh->live()) {
+        if (peer.state == EntryState::Ready && peer.known.routing.era >= m_replica.era()) {
+            hasServingPeer = true;
+            if (hasUnknownRetained(peer)) {
+                return true;
+            }
+        }
+    }
+    return !hasServingPeer;
+}
+
+/// Whether a peer has changes that this instance lacks.
+bool FleetWatch::isAhead(const PeerView &peer, bool onlyEvacuations) const
+{
+    const bool lacksEvacuations = !knowsEvacuations() && steadyNow() >= m_evacuationsFetchFrom;
+    // A peer that serves callers has a list of evacuations, also if that is empty and so has no version.
+    const bool hasEvacuations = m_core->settings.evacuationBound
+        && (peer.known.evacuations > m_replica.documents(wire::DocumentKind::Evacuations).asOf()
+            || (lacksEvacuations && peer.state != EntryState::Starting));
+    if (hasEvacuations || onlyEvacuations) {
+        return hasEvacuations;
+    }
+    return peer.known.routing > m_replica.documents(wire::DocumentKind::Routing).asOf()
+        || peer.known.backends > m_replica.documents(wire::DocumentKind::Backends).asOf() || hasUnknownRetained(peer);
+}
+
 /// Fetches the state of a peer that is ahead of this instance; with atOnce without delay, and only one that is ahead in
 /// the evacuations.
 void FleetWatch::fetchIfBehind(const std::vector<PeerView> &peers, bool atOnce)
 {
-    const auto routing = m_replica.documents(wire::DocumentKind::Routing).asOf();
-    const auto backends = m_replica.documents(wire::DocumentKind::Backends).asOf();
-    const auto evacuations = m_replica.documents(wire::DocumentKind::Evacuations).asOf();
     const auto now = steadyNow();
     const bool lacksEvacuations = !knowsEvacuations() && now >= m_evacuationsFetchFrom;
     std::vector<const PeerView *> ahead;
     for (const auto &peer : peers) {
-        // A peer that serves callers has a list of evacuations, also if that is empty and so has no version.
-        const bool hasEvacuations = m_core->settings.evacuationBound
-            && (peer.known.evacuations > evacuations || (lacksEvacuations && peer.state != EntryState::Starting));
-        const bool hasOthers = peer.known.routing > routing || peer.known.backends > backends;
-        if (hasEvacuations || (hasOthers && !atOnce)) {
+        if (isAhead(peer, atOnce)) {
             ahead.push_back(&peer);
         }
     }
@@ -493,8 +659,12 @@
     if (!m_behindSince) {
         m_behindSince = now;
     }
-    const auto delay =
-        m_replica.isReader() && routing > 0 && backends > 0 && !lacksEvacuations ? ReaderFetchDelay : FetchDelay;
+    const bool isListed =
+        m_replica.isKnown(wire::DocumentKind::Routing) && m_replica.isKnown(wire::DocumentKind::Backends);
+    // The store does not tell what a peer retains.
+    const bool waitsForStore = m_replica.isReader() && isListed && !lacksEvacuations
+        && !std::ranges::any_of(ahead, [this](const auto *peer) { return hasUnknownRetained(*peer); });
+    const auto delay = waitsForStore ? ReaderFetchDelay : FetchDelay;
     if ((!atOnce && now - *m_behindSince < delay) || m_fetchingPeerState) {
         return;
     }
@@ -510,28 +680,27 @@
 void FleetWatch::fetchPeerState(const PeerView &peer)
 {
     m_fetchingPeerState = true;
-    auto target = "/state?routing=" + std::to_string(m_replica.documents(wire::DocumentKind::Routing).asOf())
-        + "&backends=" + std::to_string(m_replica.documents(wire::DocumentKind::Backends).asOf());
+    const auto known = knownUpTo();
+    auto target = "/state?routing=" + encodeStoreVersion(known.routing)
+        + "&backends=" + encodeStoreVersion(known.backends) + "&retained=" + std::to_string(known.retained);
     if (m_core->settings.evacuationBound) {
-        target += "&evacuations=" + std::to_string(m_replica.documents(wire::DocumentKind::Evacuations).asOf());
+        target += "&evacuations=" + encodeStoreVersion(known.evacuations);
     }
     const bool isFirst = !m_routing && !m_peerFetchFailed;
     HttpCall call{peer.address, "GET", target, {}, {}, isFirst ? FirstFetchTimeout : FetchTimeout};
     call.maximumReplyBytes = MaximumCopyBytes;
-    const bool serves = peer.state != EntryState::Starting;
     const auto askedAt = steadyNow();
-    m_core->client.send(std::move(call),
-                        [self = shared_from_this(), address = peer.address, serves, askedAt](auto reply, bool) {
-                            asio::post(self->m_strand, [self, address, serves, askedAt, reply = std::move(reply)] {
-                                if (self->onPeerState(address, serves, reply)) {
-                                    self->m_core->placement.evacuationsAnswered(askedAt);
-                                }
-                            });
-                        });
+    m_core->client.send(std::move(call), [self = shared_from_this(), peer, askedAt](auto reply, bool) {
+        asio::post(self->m_strand, [self, peer, askedAt, reply = std::move(reply)] {
+            if (self->onPeerState(peer, reply)) {
+                self->m_core->placement.evacuationsAnswered(askedAt);
+            }
+        });
+    });
 }
 
 /// Applies the state of a peer. Returns whether the peer answered with it.
-bool FleetWatch::onPeerState(const std::string &address, bool serves, const std::optional<HttpReply> &reply)
+bool FleetWatch::onPeerState(const PeerView &peer, const std::optional<HttpReply> &reply)
 {
     constexpr unsigned StatusOk = 200;
     m_fetchingPeerState = false;
@@ -539,7 +708,7 @@
     const auto copy = reply && reply->status == StatusOk ? decodeFleetCopy(reply->body) : std::nullopt;
     m_peerFetchFailed = !copy;
     if (!copy) {
-        logEvent(LogLevel::Warning, "peer_state_unavailable", {{"address", address}});
+        logEvent(LogLevel::Warning, "peer_state_unavailable", {{"address", peer.address}});
         return false;
     }
     const auto now = steadyNow();
@@ -553,17 +722,22 @@
     const bool routing = merge(wire::DocumentKind::Routing, copy->routing);
     const bool backends = merge(wire::DocumentKind::Backends, copy->backends);
     const bool evacuations = merge(wire::DocumentKind::Evacuations, copy->evacuations);
-    if (serves && !knowsEvacuations()) {
+    noteEra("peer");
+    if (peer.known.retained != 0 && (copy->routing || copy->backends || copy->evacuations)) {
+        m_mergedDigests.insert(peer.known.retained);
+    }
+    if (peer.state != EntryState::Starting && !knowsEvacuations()) {
         m_evacuationsFetchFrom = now + EvacuationsFetchInterval;
         m_replica.retryUntilKnown(wire::DocumentKind::Evacuations);
     }
     logEvent(LogLevel::Info,
              "state_from_peer",
-             {{"address", address},
+             {{"address", peer.address},
               {"routing", routing},
               {"backends", backends},
-              {"routing_as_of", m_replica.documents(wire::DocumentKind::Routing).asOf()},
-              {"backends_as_of", m_replica.documents(wire::DocumentKind::Backends).asOf()},
+              {"era", m_replica.era()},
+              {"routing_as_of", m_replica.documents(wire::DocumentKind::Routing).asOf().revision},
+              {"backends_as_of", m_replica.documents(wire::DocumentKind::Backends).asOf().revision},
               {"removals_delayed", m_replica.documents(wire::DocumentKind::Backends).pendingRemovals()},
               {"bytes", reply->body.size()}});
     // Calls wait for the first list of a kind, also if that is empty and so changes no document.
--- a/src/libpomeloentry/knowledge/fleetwatch.h
+++ b/src/libpomeloentry/knowledge/fleetwatch.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -39,6 +40,12 @@
     /// Starts listing and watching. The callback is called with each published state.
     void start(std::function<void(const FleetState &state)> onPublished);
 
+    /// Sets the callback that runs when the store has come back from an older copy. Call before start().
+    void onStoreRestored(std::function<void()> callback);
+
+    /// Metrics of restores of the store, as text. Thread safe.
+    std::string metricsText() const;
+
     void stop();
 
     /// Returns an encoded FleetCopy for a peer that knows the changes up to the given store versions, with evacuations
@@ -63,9 +70,16 @@
     void updateReaderRole(const std::vector<PeerView> &peers);
     void fetchIfBehind(const std::vector<PeerView> &peers, bool atOnce);
     void fetchPeerState(const PeerView &peer);
-    void onPeerEvacuations(std::uint64_t version);
+    void onPeerEvacuations(StoreVersion version);
+    bool isAhead(const PeerView &peer, bool onlyEvacuations) const;
+    bool hasUnknownRetained(const PeerView &peer) const;
+    bool awaitsRetained() const;
+    KnownChanges knownUpTo() const;
+    std::uint64_t retainedDigest() const;
+    void noteEra(std::string_view source);
+    void noteRetained();
     void askPeer(const std::vector<PeerView> &peers);
-    bool onPeerState(const std::string &address, bool serves, const std::optional<pomeloport::HttpReply> &reply);
+    bool onPeerState(const PeerView &peer, const std::optional<pomeloport::HttpReply> &reply);
 
     std::shared_ptr<EntryCore> m_core;
     std::shared_ptr<PeerMesh> m_mesh;
@@ -77,28 +91,43 @@
     boost::asio::steady_timer m_tickTimer;
     std::function<void(const FleetState &)> m_onPublished;
     std::shared_ptr<const RoutingTable> m_routing;
-    /// Store version of the last routing document that was decoded, successfully or not.
+    /// Hash of the last routing document that was decoded, successfully or not.
     std::uint64_t m_routingDecoded = 0;
     /// Decoded document of a backend server; without a value if that version cannot be read.
     struct DecodedBackend
     {
-        std::uint64_t version = 0;
+        StoreVersion version;
+        /// Hash of the text.
+        std::uint64_t textHash = 0;
         std::optional<BackendEntry> backend;
     };
     std::map<std::string, DecodedBackend> m_decodedBackends;
-    std::mutex m_copyMutex;
+    mutable std::mutex m_copyMutex;
     DocumentCopy m_routingCopy;
     DocumentCopy m_backendsCopy;
     DocumentCopy m_evacuationsCopy;
+    /// Digest of what is retained in the copies.
+    std::uint64_t m_copiedDigest = 0;
     Instant m_copiedAt{};
     /// The last encoded copy and the versions it was made for. Cached, since many peers fetch the same change at once.
     std::string m_encodedCopy;
     KnownChanges m_encodedFor;
     bool m_encodedWithEvacuations = false;
-    /// Store version up to which the evacuations are known.
-    std::atomic<std::uint64_t> m_evacuationsAsOf{0};
+    /// Store version up to which the evacuations are known. Requires the mutex of the copies.
+    StoreVersion m_evacuationsAsOf;
+    std::function<void()> m_onStoreRestored;
+    /// Era of the store that was logged last.
+    std::uint64_t m_loggedEra = 0;
+    std::atomic<std::uint64_t> m_restores{0};
+    /// Documents used otherwise than the restored store has them.
+    std::atomic<std::uint64_t> m_retainedDocuments{0};
+    /// Digests of what peers retained that were merged in this era.
+    std::set<std::uint64_t> m_mergedDigests;
     /// Since when a peer has been known to have changes that this instance lacks.
     std::optional<Instant> m_behindSince;
+    Instant m_startedAt{};
+    /// Whether no configuration is published since a peer may know a later one than the restored store.
+    bool m_awaitsRetained = false;
     /// End of the time after the start in which state is expected from peers.
     Instant m_readsStoreFrom{};
     StartReads m_startReads;
--- a/src/libpomeloentry/knowledge/fleetwatch_test.cpp
+++ b/src/libpomeloentry/knowledge/fleetwatch_test.cpp
@@ -68,9 +68,11 @@
 {
     FleetCopy copy;
     copy.backends = DocumentCopy{
-        9,
-        9,
-        {{"i-1", {9, R"({"service":"s","address":"127.42.1.1:8000","zone":"a","slots":8,"state":"ready"})"}}},
+        {0, 9},
+        {0, 9},
+        {{"i-1", {{0, 9}, R"({"service":"s","address":"127.42.1.1:8000","zone":"a","slots":8,"state":"ready"})"}}},
+        {},
+        {},
         {}};
     const auto state = encodeFleetCopy(copy);
     const auto broken = brokenReplies(state);
@@ -101,7 +103,7 @@
     const auto end = steadyNow() + 20s;
     while (fetches <= broken.size() && steadyNow() < end) {
         // The peer knows changes that this instance lacks, and has a configuration.
-        peer->setStoreKnowledge({1, 9}, true, StoreContact::Answering);
+        peer->setStoreKnowledge({{0, 1}, {0, 9}, {}, 0}, true, StoreContact::Answering);
         const auto before = fetches.load();
         context.run_for(5ms);
         if (before <= broken.size() && fetches == before) {
--- a/src/libpomeloentry/knowledge/malformedinput_test.cpp
+++ b/src/libpomeloentry/knowledge/malformedinput_test.cpp
@@ -28,14 +28,18 @@
     message.work.items.push_back({});
     message.notices = {{7, true, 0}};
     const auto work = encodePeerMessage(message);
-    message.known.evacuations = 1'000'000;
+    message.known.evacuations.revision = 1'000'000;
     const auto evacuations = encodePeerMessage(message);
     message.work.items[0].origin = {40'000, 2, ServedOften::TooSeldom};
     const auto origins = encodePeerMessage(message);
+    message.known.routing.era = 3;
+    message.known.retained = 70'000;
+    const auto eras = encodePeerMessage(message);
+    message.known = {};
     message.work.items[0].origin = {};
-    message.known.evacuations = 0;
+    message.known.evacuations = {};
     message.notices.clear();
-    fuzz({work, evacuations, origins, encodePeerMessage(message)}, [](const std::string &bytes) {
+    fuzz({work, evacuations, origins, eras, encodePeerMessage(message)}, [](const std::string &bytes) {
         if (const auto decoded = decodePeerMessage(bytes)) {
             PeerTable table("10.0.0.1:7000", "a");
             table.applyMessage({"b", 1}, "10.0.0.2:7000", *decoded, Instant(std::chrono::hours(1)));
@@ -49,9 +53,14 @@
         }
     });
     FleetCopy copy;
-    copy.backends = DocumentCopy{9, 8, {{"i-1", {8, "first"}}, {"i-2", {7, "second"}}}, {{"i-2", 1500}}};
+    copy.backends = DocumentCopy{{2, 9},
+                                 {2, 8},
+                                 {{"i-1", {{2, 8}, "first"}}, {"i-2", {{1, 7}, "second"}}},
+                                 {{"i-2", 1500}},
+                                 {{"i-1", {{{2, 8}, "earlier"}, 900}}},
+                                 {{"i-3", {{{2, 9}, "third"}, 700}}}};
     const auto backends = encodeFleetCopy(copy);
-    copy.evacuations = DocumentCopy{12, 11, {{"zone-a", {11, "{}"}}}, {}};
+    copy.evacuations = DocumentCopy{{2, 12}, {2, 11}, {{"zone-a", {{2, 11}, "{}"}}}, {}, {}, {}};
     fuzz({backends, encodeFleetCopy(copy)}, [](const std::string &bytes) {
         const auto decoded = decodeFleetCopy(bytes);
         for (const auto &kind :
--- a/src/libpomeloentry/knowledge/peermesh.cpp
+++ b/src/libpomeloentry/knowledge/peermesh.cpp
@@ -157,7 +157,7 @@
     m_storeContact = contact;
 }
 
-void PeerMesh::onPeerEvacuations(std::function<void(std::uint64_t)> callback)
+void PeerMesh::onPeerEvacuations(std::function<void(StoreVersion)> callback)
 {
     const std::lock_guard lock(m_mutex);
     m_peerEvacuations = std::move(callback);
@@ -343,7 +343,7 @@
     }
     const auto now = steadyNow();
     auto change = PeerChange::None;
-    std::function<void(std::uint64_t)> peerEvacuations;
+    std::function<void(StoreVersion)> peerEvacuations;
     bool servesElsewhere = false;
     {
         const std::lock_guard lock(m_mutex);
--- a/src/libpomeloentry/knowledge/peermesh.h
+++ b/src/libpomeloentry/knowledge/peermesh.h
@@ -41,7 +41,7 @@
 
     /// Sets the callback that runs with the version of the evacuations that a peer's message names if it is above the
     /// own one, on any thread. Call once, before messages of other instances matter.
-    void onPeerEvacuations(std::function<void(std::uint64_t version)> callback);
+    void onPeerEvacuations(std::function<void(StoreVersion version)> callback);
 
     /// Sends the known store versions to live peers at once.
     void announceKnownChanges();
@@ -98,7 +98,7 @@
     PeerTable m_peers;
     SenderRoster m_senders;
     KnownChanges m_knownChanges;
-    std::function<void(std::uint64_t)> m_peerEvacuations;
+    std::function<void(StoreVersion)> m_peerEvacuations;
     StoreContact m_storeContact = StoreContact::Unknown;
     bool m_configured = false;
     bool m_stopped = false;
--- a/src/libpomeloentry/knowledge/peermesh_test.cpp
+++ b/src/libpomeloentry/knowledge/peermesh_test.cpp
@@ -26,7 +26,7 @@
         , mesh(PeerMesh::start(core))
     {
         if (mesh) {
-            mesh->setStoreKnowledge({1, 1}, true, StoreContact::Answering);
+            mesh->setStoreKnowledge({{0, 1}, {0, 1}, {}, 0}, true, StoreContact::Answering);
         }
     }
     ~Instance()
@@ -174,7 +174,7 @@
     const auto begin = steadyNow();
     CHECK(runUntil(context, [&] {
         return std::ranges::any_of(restarted.mesh->live(), [](const PeerView &peer) {
-            return peer.state == EntryState::Ready && peer.known.routing > 0;
+            return peer.state == EntryState::Ready && peer.known.routing.revision > 0;
         });
     }));
     CHECK(steadyNow() - begin < 1s);
--- a/src/libpomeloentry/knowledge/peertable.cpp
+++ b/src/libpomeloentry/knowledge/peertable.cpp
@@ -13,6 +13,36 @@
 namespace
 {
 
+/// The parts of KnownChanges that a store without eras does not need.
+struct KnownEras
+{
+    std::uint64_t routing = 0;
+    std::uint64_t backends = 0;
+    std::uint64_t evacuations = 0;
+    std::uint64_t retained = 0;
+
+    bool operator==(const KnownEras &) const = default;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(routing, backends, evacuations, retained);
+    }
+};
+
+KnownEras erasOf(const KnownChanges &known)
+{
+    return {known.routing.era, known.backends.era, known.evacuations.era, known.retained};
+}
+
+void setEras(KnownChanges &known, const KnownEras &eras)
+{
+    known.routing.era = eras.routing;
+    known.backends.era = eras.backends;
+    known.evacuations.era = eras.evacuations;
+    known.retained = eras.retained;
+}
+
 /// The origins of all work items, in the order of the items; empty if none is known.
 std::vector<WorkOrigin> originsOf(const WorkReport &work)
 {
@@ -41,10 +71,12 @@
 {
     using pomeloport::detail::encodeCompact;
     const auto origins = originsOf(message.work);
+    const auto eras = erasOf(message.known);
     const std::pair<bool, std::string> parts[] = {
         {!message.notices.empty(), encodeCompact(message.notices)},
-        {message.known.evacuations > 0, encodeCompact(message.known.evacuations)},
+        {message.known.evacuations.revision > 0, encodeCompact(message.known.evacuations.revision)},
         {!origins.empty(), encodeCompact(origins)},
+        {eras != KnownEras{}, encodeCompact(eras)},
     };
     auto result = encodeCompact(message);
     std::string pending;
@@ -64,10 +96,12 @@
         return std::nullopt;
     }
     std::vector<WorkOrigin> origins;
-    if (!takePart(bytes, message->notices) || !takePart(bytes, message->known.evacuations) || !takePart(bytes, origins)
-        || !bytes.empty()) {
+    KnownEras eras;
+    if (!takePart(bytes, message->notices) || !takePart(bytes, message->known.evacuations.revision)
+        || !takePart(bytes, origins) || !takePart(bytes, eras) || !bytes.empty()) {
         return std::nullopt;
     }
+    setEras(message->known, eras);
     auto &items = message->work.items;
     if (!origins.empty() && origins.size() != items.size()) {
         return std::nullopt;
--- a/src/libpomeloentry/knowledge/peertable_test.cpp
+++ b/src/libpomeloentry/knowledge/peertable_test.cpp
@@ -74,12 +74,12 @@
 {
     auto sent = message(EntryState::Ready);
     const auto without = encodePeerMessage(sent);
-    sent.known.evacuations = 300;
+    sent.known.evacuations.revision = 300;
     const auto alone = encodePeerMessage(sent);
     CHECK(alone == without + std::string("\0", 1) + "\xac\x02");
     const auto received = decodePeerMessage(alone);
     REQUIRE(received);
-    CHECK(received->known.evacuations == 300);
+    CHECK(received->known.evacuations.revision == 300);
     CHECK(received->notices.empty());
     sent.notices = {{7, true, 0}};
     const auto both = decodePeerMessage(encodePeerMessage(sent));
@@ -87,14 +87,14 @@
     CHECK(both->known == sent.known);
     CHECK(both->notices.size() == 1);
     // A message that ends after the notices names no version.
-    sent.known.evacuations = 0;
-    CHECK(decodePeerMessage(encodePeerMessage(sent))->known.evacuations == 0);
+    sent.known.evacuations = {};
+    CHECK(decodePeerMessage(encodePeerMessage(sent))->known.evacuations == StoreVersion{});
     CHECK_FALSE(decodePeerMessage(alone + "x"));
     CHECK_FALSE(decodePeerMessage(alone.substr(0, alone.size() - 1)));
 
     PeerTable table("10.0.0.1:7000", "a");
     table.applyMessage({"b", 1}, "10.0.0.2:7000", *received, Now);
-    CHECK(table.live(Now).front().known.evacuations == 300);
+    CHECK(table.live(Now).front().known.evacuations.revision == 300);
 }
 
 // Instances of two versions work side by side while a fleet is updated; with the sharing off, messages must not change.
@@ -187,13 +187,13 @@
 TEST_CASE("peer messages survive encoding and decoding, and truncated ones are rejected", "[peertable]")
 {
     auto sent = message(EntryState::Ready);
-    sent.known = {5, 9};
+    sent.known = {{0, 5}, {0, 9}, {}, 0};
     sent.work.items.push_back({77, 0, true, false, 10, 5, -20, 250, 30, 1.5F, {{3, 12.5F, 900}}});
     sent.work.ended = {1, 2};
     const auto bytes = pomeloport::detail::encodeCompact(sent);
     const auto read = pomeloport::detail::decodeCompact<PeerMessage>(bytes);
     REQUIRE(read);
-    CHECK(read->known.backends == 9);
+    CHECK(read->known.backends.revision == 9);
     CHECK(read->work.items.front().dueInMs == -20);
     CHECK(read->work.items.front().parts.front().prefillMs == 12.5F);
     for (std::size_t length = 0; length < bytes.size(); ++length) {
@@ -216,3 +216,21 @@
     CHECK(table.applyMessage({"b", 2}, "10.0.0.2:7000", brief, Now + 900ms) == PeerChange::None);
     CHECK(table.live(Now + 900ms).front().incarnation == 1);
 }
+
+// Guards against versions of different eras of the store that are compared, and against messages that instances of
+// earlier versions cannot read although the store names no era.
+TEST_CASE("the eras of known changes follow the other parts of a message and are absent without eras", "[peertable]")
+{
+    PeerMessage sent;
+    sent.known = {{0, 7}, {0, 9}, {}, 0};
+    const auto without = encodePeerMessage(sent);
+    sent.known = {{3, 7}, {2, 9}, {3, 1}, 77};
+    const auto with = encodePeerMessage(sent);
+    REQUIRE(decodePeerMessage(without));
+    REQUIRE(decodePeerMessage(with));
+    CHECK(decodePeerMessage(with)->known == sent.known);
+    CHECK(decodePeerMessage(without)->known.routing == StoreVersion{0, 7});
+    CHECK(with.starts_with(without));
+    CHECK(StoreVersion{3, 1} > StoreVersion{2, 9});
+    CHECK_FALSE(decodePeerMessage(with.substr(0, with.size() - 1)));
+}
--- a/src/libpomeloentry/knowledge/storereplica.cpp
+++ b/src/libpomeloentry/knowledge/storereplica.cpp
@@ -1,5 +1,6 @@
 #include "pomeloentry/knowledge/storereplica.h"
 
+#include "knowledge/restorerules.h"
 #include "knowledge/storecalls.h"
 
 #include <algorithm>
@@ -47,6 +48,10 @@
     : m_jitter(std::move(jitter))
     , m_watchWait(watchWait(stableTime))
 {
+    for (const auto kind :
+         {wire::DocumentKind::Routing, wire::DocumentKind::Backends, wire::DocumentKind::Evacuations}) {
+        state(kind).documents = FleetDocuments(restoreRules(kind));
+    }
 }
 
 StoreReplica::KindState &StoreReplica::state(wire::DocumentKind kind)
@@ -103,20 +108,30 @@
     call.id = m_nextCall++;
     call.kind = wire::kindName(kind);
     bool waits = false;
-    if (entry.needsList) {
+    const bool isList = needsList(entry);
+    const bool continues = !isList || !entry.listedObjects.empty();
+    if (isList) {
         call.operation = StoreOperation::List;
         call.after = entry.listedObjects.empty() ? std::string() : entry.listedObjects.back().name;
     } else {
         waits = !std::exchange(entry.probes, false) && !m_outage.isOpen() && entry.failures == 0;
         call.operation = StoreOperation::Watch;
-        call.ifVersion = entry.documents.asOf();
+        call.ifVersion = entry.documents.asOf().revision;
         call.wait = waits ? m_watchWait : ProbeWait;
         call.newConnection = !waits;
     }
-    entry.pending = PendingCall{call.id, now, now + call.wait + AnswerTime, waits};
+    const auto era = continues ? std::optional(m_era) : std::nullopt;
+    entry.pending = PendingCall{call.id, isList, era, now, now + call.wait + AnswerTime, waits};
     return call;
 }
 
+/// Whether the next call for a kind is a list: there has been none, its history is gone, or the known revisions are of
+/// an earlier era.
+bool StoreReplica::needsList(const KindState &kind) const
+{
+    return kind.needsList || kind.documents.asOf().era != m_era;
+}
+
 /// Whether another call replaces the pending one if that is not answered in time. A list is not replaced: it is
 /// expensive, and a store that is slow would have to make it twice.
 bool StoreReplica::canReplace(const KindState &kind)
@@ -147,29 +162,29 @@
         return outcome;
     }
     const auto call = *std::exchange(entry.pending, std::nullopt);
-    const bool isList = entry.needsList;
+    if (reply.era && *reply.era < m_era) {
+        onEarlierEra(kind, now, outcome);
+        return outcome;
+    }
+    recordEra(reply, now);
     // A page without a readable object names no place to go on from, and the list would seem complete without the rest.
-    const bool cannotContinue = isList && reply.more && reply.objects.empty();
-    if (!isList && reply.status == StoreStatus::HistoryGone) {
-        outcome.historyGone = true;
+    const bool cannotContinue = call.isList && reply.more && reply.objects.empty();
+    if (!call.isList && reply.status == StoreStatus::HistoryGone) {
         recordAnswer(now, outcome);
-        entry.needsList = true;
-        entry.callAt = now;
+        onHistoryGone(entry, now, outcome);
     } else if (reply.status != StoreStatus::Ok || cannotContinue) {
         recordFailure(call, now, outcome);
         ++entry.failures;
         entry.listedObjects.clear();
-        if (m_isReader || entry.retriesUntilKnown) {
-            auto delay = retryDelay(entry.failures);
-            if (m_isReader && !isKnown(kind)) {
-                delay = std::min(delay, LongestStartRetryDelay);
-            }
-            entry.callAt = now + m_jitter(delay);
-        }
+        scheduleRetry(entry, kind, now);
+    } else if (call.era && *call.era != m_era) {
+        // The store took the call's revision or its place in a list for one of the new era.
+        recordAnswer(now, outcome);
+        entry.callAt = now;
     } else {
         recordAnswer(now, outcome);
-        isList ? onListPage(kind, reply, now, outcome) : onWatchReply(kind, reply, now, outcome);
-        entry.callAt = isList || reply.objects.empty() ? now : now + WatchPause;
+        call.isList ? onListPage(kind, reply, now, outcome) : onWatchReply(kind, reply, now, outcome);
+        entry.callAt = call.isList || reply.objects.empty() ? now : now + WatchPause;
     }
     if (outcome.answered) {
         entry.failures = 0;
@@ -177,6 +192,69 @@
     return outcome;
 }
 
+/// Repeats a call after a failure if this instance reads the store or waits for its first list.
+void StoreReplica::scheduleRetry(KindState &entry, wire::DocumentKind kind, Instant now)
+{
+    if (!m_isReader && !entry.retriesUntilKnown) {
+        return;
+    }
+    auto delay = retryDelay(std::max(entry.failures, 1U));
+    if (m_isReader && !isKnown(kind)) {
+        delay = std::min(delay, LongestStartRetryDelay);
+    }
+    entry.callAt = now + m_jitter(delay);
+}
+
+/// Discards a reply that the store gave before it came back from a copy, and calls again.
+void StoreReplica::onEarlierEra(wire::DocumentKind kind, Instant now, ReplyOutcome &outcome)
+{
+    outcome.isOfEarlierEra = true;
+    auto &entry = state(kind);
+    ++entry.failures;
+    entry.listedObjects.clear();
+    scheduleRetry(entry, kind, now);
+}
+
+/// Lists a kind whose history the store no longer has. A list in vain, after which the history is gone once more, is
+/// repeated with a delay only.
+void StoreReplica::onHistoryGone(KindState &entry, Instant now, ReplyOutcome &outcome)
+{
+    outcome.historyGone = true;
+    entry.needsList = entry.needsList || entry.documents.asOf().era == m_era;
+    const auto earlier = entry.goneHistories++;
+    entry.callAt = earlier == 0 ? now : now + m_jitter(retryDelay(earlier));
+}
+
+/// Begins a later era if a reply names one.
+void StoreReplica::recordEra(const StoreReply &reply, Instant now)
+{
+    if (reply.era && *reply.era > m_era) {
+        beginEra(*reply.era, now);
+    }
+}
+
+/// Lists all kinds again, since the revisions that are known are of an earlier era. Watches are given up; the replies
+/// to other pending calls count only if they do not continue anything of an earlier era.
+void StoreReplica::beginEra(std::uint64_t era, Instant now)
+{
+    m_era = era;
+    for (auto &entry : m_kinds) {
+        entry.listedObjects.clear();
+        entry.goneHistories = 0;
+        if (entry.pending && !entry.pending->isList) {
+            entry.pending.reset();
+        }
+        if (m_isReader && !entry.pending && (entry.callAt || entry.hasList)) {
+            entry.callAt = now + m_jitter(FirstRetryDelay);
+        }
+    }
+}
+
+std::uint64_t StoreReplica::era() const
+{
+    return m_era;
+}
+
 /// Processes the reply to a watch that another call has replaced, which decides when to call next.
 void StoreReplica::onLateReply(wire::DocumentKind kind,
                                const PendingCall &call,
@@ -184,9 +262,16 @@
                                Instant now,
                                ReplyOutcome &outcome)
 {
+    if (reply.era && *reply.era < m_era) {
+        outcome.isOfEarlierEra = true;
+        return;
+    }
+    recordEra(reply, now);
     if (reply.status == StoreStatus::Ok) {
         recordAnswer(now, outcome);
-        onWatchReply(kind, reply, now, outcome);
+        if (call.era == m_era) {
+            onWatchReply(kind, reply, now, outcome);
+        }
     } else if (reply.status == StoreStatus::HistoryGone) {
         recordAnswer(now, outcome);
     } else {
@@ -198,7 +283,7 @@
 {
     auto &entry = state(kind);
     if (entry.listedObjects.empty()) {
-        entry.listAsOf = reply.storeVersion;
+        entry.listAsOf = {m_era, reply.storeVersion};
     }
     entry.listedObjects.insert(entry.listedObjects.end(), reply.objects.begin(), reply.objects.end());
     if (reply.more) {
@@ -224,7 +309,8 @@
     auto &entry = state(kind);
     const auto pendingBefore = entry.documents.pendingRemovals();
     const auto removeAt = removalTime(kind, now);
-    outcome.documentsChanged = entry.documents.apply(reply.objects, reply.storeVersion, removeAt, now);
+    entry.goneHistories = 0;
+    outcome.documentsChanged = entry.documents.apply(reply.objects, {m_era, reply.storeVersion}, removeAt, now);
     outcome.changesPending = !outcome.documentsChanged && !reply.objects.empty();
     if (entry.documents.pendingRemovals() > pendingBefore) {
         outcome.removalDelay = removeAt - now;
@@ -288,12 +374,15 @@
 
 bool StoreReplica::merge(wire::DocumentKind kind, const DocumentCopy &copy, Instant now)
 {
+    if (copy.asOf.era > m_era) {
+        beginEra(copy.asOf.era, now);
+    }
     return state(kind).documents.merge(copy, ownRemovalTime(kind, now), now);
 }
 
-bool StoreReplica::applyDueRemovals(wire::DocumentKind kind, Instant now)
+bool StoreReplica::applyDueChanges(wire::DocumentKind kind, Instant now)
 {
-    return state(kind).documents.applyDueRemovals(now);
+    return state(kind).documents.applyDueChanges(now);
 }
 
 const FleetDocuments &StoreReplica::documents(wire::DocumentKind kind) const
@@ -303,7 +392,7 @@
 
 bool StoreReplica::isKnown(wire::DocumentKind kind) const
 {
-    return state(kind).hasList || documents(kind).asOf() > 0;
+    return state(kind).hasList || documents(kind).asOf() != StoreVersion{};
 }
 
 StoreContact StoreReplica::contact(Instant now) const
--- a/src/libpomeloentry/program/entry.cpp
+++ b/src/libpomeloentry/program/entry.cpp
@@ -167,6 +167,11 @@
                 }
             }
         });
+        watch->onStoreRestored([weak = std::weak_ptr(directory)] {
+            if (const auto locked = weak.lock()) {
+                locked->storeRestored();
+            }
+        });
         watch->start([weak = weak_from_this()](const FleetState &state) {
             const auto self = weak.lock();
             if (self && state.routing) {
@@ -276,14 +281,16 @@
     void serveState(const Exchange &exchange)
     {
         const auto &query = exchange->request().query;
-        const auto number = [&query](const std::string &name) {
-            std::uint64_t value = 0;
-            if (const auto found = query.find(name); found != query.end()) {
-                std::from_chars(found->second.data(), found->second.data() + found->second.size(), value);
-            }
-            return value;
+        const auto text = [&query](const std::string &name) {
+            const auto found = query.find(name);
+            return found == query.end() ? std::string_view() : std::string_view(found->second);
+        };
+        const auto version = [&text](const std::string &name) {
+            return decodeStoreVersion(text(name)).value_or(StoreVersion{});
         };
-        const KnownChanges known{number("routing"), number("backends"), number("evacuations")};
+        KnownChanges known{version("routing"), version("backends"), version("evacuations")};
+        const auto retained = text("retained");
+        std::from_chars(retained.data(), retained.data() + retained.size(), known.retained);
         if (!core->placement.knowsEvacuations(steadyNow())) {
             exchange->reply(StatusUnavailable, "text/plain", "this instance was stopped\n");
             return;
@@ -309,7 +316,8 @@
                             core->metrics.text() + core->quarantine.metricsText() + memoryMetricsText()
                                 + core->placement.noticeMetricsText(steadyNow()) + evacuationMetricsText()
                                 + core->placement.paceMetricsText(steadyNow()) + core->returnMetrics.text()
-                                + core->placement.sharesMetricsText(steadyNow()) + core->placement.unreadMetricsText());
+                                + core->placement.sharesMetricsText(steadyNow()) + core->placement.unreadMetricsText()
+                                + watch->metricsText());
             return;
         }
         exchange->reply(StatusNotFound, "text/plain", "not found\n");
--- a/src/libpomeloentry/program/entrydirectory.cpp
+++ b/src/libpomeloentry/program/entrydirectory.cpp
@@ -62,6 +62,19 @@
     });
 }
 
+void EntryDirectory::storeRestored()
+{
+    asio::post(m_strand, [self = shared_from_this()] {
+        if (self->m_stopped) {
+            return;
+        }
+        // A list in progress may be of the earlier era, and no write may carry a revision from there.
+        self->m_listCall = 0;
+        self->m_completedLists = 0;
+        self->scheduleNextList(jittered(FirstRetryDelay));
+    });
+}
+
 void EntryDirectory::send(StoreCall call, std::function<void(const StoreReply &)> callback)
 {
     call.id = m_nextCall++;
@@ -83,18 +96,29 @@
     // The first list decides whether this instance must register and so has to be current; later ones only serve to
     // find peers.
     call.mayBeStale = m_completedLists > 0;
-    send(call, [this](const StoreReply &reply) { onListReply(reply); });
+    if (after.empty()) {
+        m_listedObjects.clear();
+        m_listEra.reset();
+    }
+    m_listCall = m_nextCall;
+    send(call, [this](const StoreReply &reply) {
+        if (reply.id == m_listCall) {
+            onListReply(reply);
+        }
+    });
 }
 
 void EntryDirectory::onListReply(const StoreReply &reply)
 {
-    if (reply.status != StoreStatus::Ok) {
+    const bool isOtherEra = m_listEra && reply.era && *reply.era != *m_listEra;
+    if (reply.status != StoreStatus::Ok || isOtherEra) {
         m_listedObjects.clear();
         ++m_failedLists;
         scheduleNextList();
         return;
     }
     m_failedLists = 0;
+    m_listEra = reply.era;
     m_listedObjects.insert(m_listedObjects.end(), reply.objects.begin(), reply.objects.end());
     if (reply.more && !reply.objects.empty()) {
         list(reply.objects.back().name);
--- a/src/libpomeloentry/program/entrydirectory.h
+++ b/src/libpomeloentry/program/entrydirectory.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
     void start();
     void stop();
 
+    /// Reads the list again soon after the store has come back from an older copy, which may lack this instance.
+    void storeRestored();
+
 private:
     void list(const std::string &after);
     void onListReply(const pomeloport::StoreReply &reply);
@@ -46,6 +50,10 @@
     boost::asio::steady_timer m_timer;
     /// Objects from the pages of the current list.
     std::vector<pomeloport::StoreObject> m_listedObjects;
+    /// Id of the call for the last page that was asked for. Replies to others are of a list that was given up.
+    std::uint64_t m_listCall = 0;
+    /// Era of the store that the pages of the current list are of.
+    std::optional<std::uint64_t> m_listEra;
     /// Time since which a listed instance has not been heard from.
     std::map<std::string, Instant> m_silentSince;
     std::uint32_t m_failedLists = 0;
