Let no older copy of a peer bring a state back that the restored store has lost since

What could be seen: an instance that had learned from the store that a server was gone used it again half a minute after a restore, or for good, because a peer's copy that was read before still had or withheld its entry.

Cause: within the new era, an entry known from the earlier one counted as older than any entry of the era, also than one from before the list that lacked it; and a state that is withheld was taken from a peer while the own removal of it was only pending.

Change: update() compares an entry with m_asOf if the lists of the era lack it, and a pending removal counts as known.

--- a/src/libpomeloentry/knowledge/fleetdocuments.cpp
+++ b/src/libpomeloentry/knowledge/fleetdocuments.cpp
@@ -182,7 +182,8 @@
             continue;
         }
         const auto used = copy.documents.find(name);
-        const bool isListedHere = known != m_documents.end() && known->second.version.era == version.era;
+        const bool isListedHere =
+            known != m_documents.end() && known->second.version.era == version.era && !m_pendingRemovals.contains(name);
         if (!hasOwn && !isListedHere && version <= m_asOf) {
             // The store has lost this state, too, since the peer read it.
             changed = (used == copy.documents.end() && erase(name, now)) || changed;
@@ -312,12 +313,14 @@
     }
 }
 
-/// Applies a change of a document unless the replica knows that it has changed or gone since. Returns whether it did.
+/// Applies a change of a document unless the replica knows that it has changed or gone since: a document that is
+/// missing, or that the lists of the era lack, is known to be gone up to m_asOf. Returns whether it did.
 bool FleetDocuments::update(const std::string &name, const StoredDocument &document, Instant now)
 {
     const auto known = m_documents.find(name);
-    const bool isOlder =
-        known != m_documents.end() ? known->second.version >= document.version : document.version <= m_asOf;
+    const bool isInEra = known != m_documents.end() && known->second.version.era == document.version.era;
+    const bool isOlder = document.version <= (isInEra ? known->second.version : m_asOf)
+        || (known != m_documents.end() && document.version < known->second.version);
     return !isOlder && take(name, document, now);
 }
 
--- a/src/libpomeloentry/knowledge/storereplica_test.cpp
+++ b/src/libpomeloentry/knowledge/storereplica_test.cpp
@@ -402,26 +402,26 @@
         return entry->second;
     }
 
-    /// Whether an instance sends requests to a backend server.
-    bool uses(std::size_t index, const std::string &name) const
+    /// The entry that an instance has of a backend server, if any.
+    std::optional<BackendEntry> entry(std::size_t index, const std::string &name) const
     {
         const auto &known = documents(index, Backends).documents();
         const auto found = known.find(name);
         if (found == known.end()) {
-            return false;
+            return std::nullopt;
         }
-        const auto [entry, isNew] = m_readyServers.try_emplace(found->second.text, false);
+        const auto [decoded, isNew] = m_entries.try_emplace(name + found->second.text);
         if (isNew) {
-            const auto decoded = wire::decodeBackend(name, found->second.text);
-            entry->second = decoded && !decoded->leaving;
+            decoded->second = wire::decodeBackend(name, found->second.text);
         }
-        return entry->second;
+        return decoded->second;
     }
 
-    /// Whether an instance has an entry of a backend server, which may say that the server leaves.
-    bool hasEntry(std::size_t index, const std::string &name) const
+    /// Whether an instance sends requests to a backend server.
+    bool uses(std::size_t index, const std::string &name) const
     {
-        return documents(index, Backends).documents().contains(name);
+        const auto known = entry(index, name);
+        return known && !known->leaving;
     }
 
     /// Whether an instance has an evacuation in force.
@@ -576,7 +576,7 @@
     Instant m_now = Instant(1h);
     /// Decoded configurations and entries by their texts.
     mutable std::map<std::string, std::uint64_t> m_configurationVersions;
-    mutable std::map<std::string, bool> m_readyServers;
+    mutable std::map<std::string, std::optional<BackendEntry>> m_entries;
 };
 
 struct Scenario
@@ -1061,6 +1061,57 @@
     CHECK(result.failed.empty());
 }
 
+// Guards against a list that is put together from pages of different eras, or taken from an answer that the store gave
+// before it came back: the rest of the servers would be dropped, or a removed one used.
+TEST_CASE("a list that a restore overtakes begins again", "[storereplica][restore]")
+{
+    const auto now = Instant(1h);
+    StoreReplica replica([](auto delay) { return delay; }, StableTime);
+    replica.setReader(true);
+    const auto list = [&](std::uint64_t era, const std::string &name, bool more) {
+        const auto call = replica.nextCall(Backends, now + 1s);
+        REQUIRE(call);
+        REQUIRE(call->operation == StoreOperation::List);
+        const auto after = call->after;
+        StoreReply reply{call->id, StoreStatus::Ok, {{"servers", name, server("ready"), 5, false}}, 60, more};
+        reply.era = era;
+        replica.onReply(Backends, reply, now);
+        return after;
+    };
+    replica.read(Backends, now);
+    CHECK(list(1, "i-1", true).empty());
+    SECTION("between two pages")
+    {
+        CHECK(list(2, "i-2", false) == "i-1");
+        CHECK_FALSE(replica.isKnown(Backends));
+    }
+    SECTION("before the first page arrives")
+    {
+        CHECK(list(1, "i-2", false) == "i-1");
+        REQUIRE(replica.isKnown(Backends));
+        // Another kind tells of the restore while the list of this one is under way.
+        const auto watch = replica.nextCall(Backends, now);
+        REQUIRE((watch && watch->operation == StoreOperation::Watch));
+        replica.onReply(Backends, {watch->id, StoreStatus::HistoryGone}, now);
+        const auto call = replica.nextCall(Backends, now);
+        REQUIRE((call && call->operation == StoreOperation::List));
+        replica.read(Routing, now);
+        const auto other = replica.nextCall(Routing, now);
+        REQUIRE(other);
+        StoreReply told{other->id, StoreStatus::Rejected};
+        told.era = 2;
+        replica.onReply(Routing, told, now);
+        CHECK(replica.era() == 2);
+        StoreReply late{call->id, StoreStatus::Ok, {{"servers", "i-7", server("ready"), 70, false}}, 90, false};
+        late.era = 1;
+        CHECK(replica.onReply(Backends, late, now).isOfEarlierEra);
+        CHECK_FALSE(replica.documents(Backends).documents().contains("i-7"));
+    }
+    CHECK(list(2, "i-3", false).empty());
+    CHECK(replica.documents(Backends).documents().contains("i-3"));
+    CHECK(replica.documents(Backends).asOf() == StoreVersion{2, 60});
+}
+
 // Guards against calls without a pause to a store that names no era and whose revisions went back.
 TEST_CASE("a store that names no era is not called without a pause", "[storereplica][restore]")
 {
@@ -1281,13 +1332,16 @@
             earlierConfigurations += version < m_versions[i] ? 1 : 0;
             m_versions[i] = version;
             for (const auto &[name, state] : m_servers) {
-                const bool hasLeft = state.leaving || !state.present;
-                const bool uses = fleet.uses(i, name);
+                const auto entry = fleet.entry(i, name);
                 auto &[used, stopped] = m_known[i][name];
-                usedAgain += uses && hasLeft && stopped == state.startedAt ? 1 : 0;
-                used = uses ? state.startedAt : used;
-                const bool toldSo = fleet.hasEntry(i, name) || !fleet.store.has(Backends, name);
-                stopped = !uses && hasLeft && toldSo ? used : stopped;
+                if (entry && entry->leaving) {
+                    stopped = entry->startedAt;
+                } else if (entry) {
+                    usedAgain += stopped == entry->startedAt ? 1 : 0;
+                    used = entry->startedAt;
+                } else if (used == state.startedAt && !state.present && !fleet.store.has(Backends, name)) {
+                    stopped = used;
+                }
             }
         }
     }
@@ -1302,7 +1356,7 @@
     bool m_disturbs = true;
     std::vector<std::uint64_t> m_versions;
     /// What an instance has known of a server: starts of the last incarnation that it used, and of the last one that it
-    /// no longer used once that had left.
+    /// knew to be leaving or gone.
     struct KnownServer
     {
         std::uint64_t used = 0;
