Remove a server that the list of a peer lacks, although the peer still uses it from an earlier era

What could be seen: an instance that does not read the store used a server for good that had left, after a restore during which the peer whose copy it took had been cut off.

Cause: such a copy has the entry of the earlier era, which is unconfirmed and about to be removed, and the merging instance took that for the list's entry of the server.

The entry of a copy counts as listed if it is of the copy's era, or if the own one is of an earlier era, too.

--- a/src/libpomeloentry/knowledge/fleetdocuments.cpp
+++ b/src/libpomeloentry/knowledge/fleetdocuments.cpp
@@ -243,7 +243,11 @@
 {
     std::vector<std::string> absentNames;
     for (const auto &[name, document] : m_documents) {
-        if (document.version <= copy.asOf && !copy.documents.contains(name)) {
+        const auto listed = copy.documents.find(name);
+        // The list that the copy is of lacks a document which the peer knows from an earlier era only.
+        const bool isListed = listed != copy.documents.end()
+            && (listed->second.version.era == copy.asOf.era || document.version.era < copy.asOf.era);
+        if (document.version <= copy.asOf && !isListed) {
             absentNames.push_back(name);
         }
     }
